--- /dev/null
+++ b/include/eelgrassbend/endpoints/endpoint_client.h
@@ -0,0 +1,60 @@
+#ifndef EELGRASSBEND_ENDPOINTS_ENDPOINT_CLIENT_H
+#define EELGRASSBEND_ENDPOINTS_ENDPOINT_CLIENT_H
+
+#include "eelgrassbend/platform/host_list.h"
+#include "eelgrassbend/support/error.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace eelgrassbend {
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/// What goes to an endpoint as one attempt.
+struct endpoint_request {
+    attempt_id attempt;
+    std::string method;
+    std::string target;
+    header_list headers;
+    std::string body;
+    duration progress_timeout{}; ///< longest silence before the attempt fails
+};
+
+/// Whether an endpoint can have begun an attempt that failed.
+enum class dispatch_state { not_sent, maybe_sent };
+
+/// Hears what becomes of an attempt. After `completed` or `failed` nothing more is called.
+class attempt_observer {
+public:
+    virtual ~attempt_observer() = default;
+    virtual void head(int status, const header_list& headers) = 0;
+    virtual void body(std::string_view bytes) = 0;
+    /// The answer is whole.
+    virtual void completed() = 0;
+    virtual void failed(const error& reason, dispatch_state dispatched) = 0;
+};
+
+/// An attempt under way. Destroying it cancels it; the observer hears nothing more.
+class attempt_handle {
+public:
+    virtual ~attempt_handle() = default;
+};
+
+/// Sends attempts to endpoints over pooled connections.
+class endpoint_client {
+public:
+    virtual ~endpoint_client() = default;
+    /// `observer` must outlive the handle. Never calls it from within `dispatch`.
+    virtual std::unique_ptr<attempt_handle> dispatch(const network_address& endpoint,
+                                                     endpoint_request request,
+                                                     attempt_observer& observer) = 0;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/logging/event_log.h
@@ -0,0 +1,23 @@
+#ifndef EELGRASSBEND_LOGGING_EVENT_LOG_H
+#define EELGRASSBEND_LOGGING_EVENT_LOG_H
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string_view>
+
+namespace eelgrassbend {
+
+enum class log_level { debug, info, warning, error };
+
+/// Takes one structured line for each decision or noteworthy event.
+class event_log {
+public:
+    virtual ~event_log() = default;
+
+    /// `event` is a stable name such as "route"; `fields` is a JSON object.
+    virtual void write(log_level level, std::string_view event, const nlohmann::json& fields) = 0;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/routing/router.h
@@ -0,0 +1,83 @@
+#ifndef EELGRASSBEND_ROUTING_ROUTER_H
+#define EELGRASSBEND_ROUTING_ROUTER_H
+
+#include "eelgrassbend/endpoints/load_report.h"
+#include "eelgrassbend/support/error.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrassbend {
+
+enum class request_class : std::uint8_t { quick, normal, long_running };
+
+/// What is known of a request before it runs.
+struct route_request {
+    request_id request;
+    organisation_id organisation;
+    service_id service;
+    request_class size = request_class::normal;
+    std::int32_t priority = 0;
+    token_count prompt_tokens;
+    token_count expected_output;
+    std::vector<std::uint64_t> prefix; ///< chained block hashes of the prompt
+    bool idempotent = true;
+    std::optional<monotonic_time> deadline;
+    std::vector<endpoint_id> excluded; ///< already tried
+};
+
+struct candidate_score {
+    endpoint_id endpoint;
+    duration predicted{}; ///< until the first token
+    money cost;
+    std::int64_t cached_tokens = 0;
+    std::string note; ///< why it is not eligible; empty if it is
+};
+
+struct route_decision {
+    endpoint_id endpoint;
+    std::string policy;
+    std::string reason;
+    bundle_version version;
+    std::vector<candidate_score> candidates;
+};
+
+/// How an attempt ended, for what the router learns from it.
+enum class attempt_end { completed, failed, cancelled };
+
+/// Chooses endpoints and learns from what becomes of the attempts.
+class router {
+public:
+    virtual ~router() = default;
+
+    /// Errors: `not_found` if the service has no endpoint, `unavailable` if none can take it now,
+    /// `rate_limited` if it should be shed.
+    virtual result<route_decision> choose(const route_request& request) = 0;
+
+    virtual void dispatched(const attempt_id& attempt, const endpoint_id& endpoint,
+                            const route_request& request) = 0;
+    /// `total` output tokens have arrived so far.
+    virtual void progressed(const attempt_id& attempt, token_count total) = 0;
+    virtual void ended(const attempt_id& attempt, attempt_end how) = 0;
+
+    virtual void report_load(const endpoint_id& endpoint, const load_report& report) = 0;
+    virtual void report_cache(const endpoint_id& endpoint, const cache_event& event) = 0;
+};
+
+/// Tokens in one block of the prefix cache.
+constexpr std::int64_t prefix_block_tokens = 16;
+
+/// Splits a text into tokens as the engines count them: runs of letters and digits, each other
+/// character but white space by itself.
+std::vector<std::string> split_tokens(const std::string& text);
+
+/// One hash for each whole block of the prompt; each covers all blocks before it.
+std::vector<std::uint64_t> prefix_blocks(const std::vector<std::string>& tokens);
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/support/random_source.cpp
@@ -0,0 +1,18 @@
+#include "eelgrassbend/support/random_source.h"
+
+#include <cassert>
+
+namespace eelgrassbend {
+
+std::uint64_t random_below(random_source& source, std::uint64_t bound)
+{
+    assert(bound > 0 && "an empty range has no number");
+    return std::uniform_int_distribution<std::uint64_t>{0, bound - 1}(source);
+}
+
+double random_unit(random_source& source)
+{
+    return std::uniform_real_distribution<double>{0.0, 1.0}(source);
+}
+
+} // namespace eelgrassbend
