--- /dev/null
+++ b/include/eelgrassbend/discovery/entry_directory.h
@@ -0,0 +1,36 @@
+#ifndef EELGRASSBEND_DISCOVERY_ENTRY_DIRECTORY_H
+#define EELGRASSBEND_DISCOVERY_ENTRY_DIRECTORY_H
+
+#include "eelgrassbend/platform/host_list.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// One entry host that a caller may use.
+struct entry_choice {
+    node_id node;
+    availability_zone zone;
+    network_address address;
+    std::uint32_t weight = 1;
+};
+
+struct entry_answer {
+    std::vector<entry_choice> entries;
+    duration time_to_live{}; ///< how long a caller may keep the answer
+};
+
+/// Tells callers which entry hosts to use.
+class entry_directory {
+public:
+    virtual ~entry_directory() = default;
+    [[nodiscard]] virtual entry_answer entries(const organisation_id& organisation,
+                                               const service_id& service) const = 0;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- a/include/eelgrassbend/endpoints/endpoint_client.h
+++ b/include/eelgrassbend/endpoints/endpoint_client.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,8 @@
     header_list headers;
     std::string body;
     duration progress_timeout{}; ///< longest silence before the attempt fails
+    bool fresh_connection =
+        false; ///< never a pooled one, so that a failure to connect is `not_sent`
 };
 
 /// Whether an endpoint can have begun an attempt that failed.
--- /dev/null
+++ b/include/eelgrassbend/logging/json_event_log.h
@@ -0,0 +1,31 @@
+#ifndef EELGRASSBEND_LOGGING_JSON_EVENT_LOG_H
+#define EELGRASSBEND_LOGGING_JSON_EVENT_LOG_H
+
+#include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/scheduler.h"
+
+#include <string>
+
+namespace eelgrassbend {
+
+/// Writes JSON lines to standard output through easylogging++.
+class json_event_log : public event_log {
+public:
+    json_event_log(const clock_source& clock, node_id node, log_level least);
+
+    void write(log_level level, std::string_view event, const nlohmann::json& fields) override;
+
+private:
+    const clock_source& clock;
+    node_id node;
+    log_level least;
+};
+
+/// One log line: time, level, node and event come first, then the fields in order of name.
+std::string format_log_line(wall_time time, log_level level, const node_id& node,
+                            std::string_view event, const nlohmann::json& fields);
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/net/asio_endpoint_client.h
@@ -0,0 +1,43 @@
+#ifndef EELGRASSBEND_NET_ASIO_ENDPOINT_CLIENT_H
+#define EELGRASSBEND_NET_ASIO_ENDPOINT_CLIENT_H
+
+#include "eelgrassbend/endpoints/endpoint_client.h"
+
+#include <cstddef>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace eelgrassbend {
+
+struct endpoint_client_limits {
+    duration connect_timeout = std::chrono::seconds{1};
+    duration idle_time = std::chrono::seconds{20}; ///< before a pooled connection is closed
+    std::size_t idle_connections = 32;             ///< kept for each endpoint
+    std::size_t head_bytes = 16 * 1024;
+    std::size_t body_bytes = 64 * 1024 * 1024;
+};
+
+/// An endpoint client over HTTP/1.1. When an attempt makes no progress, the endpoint is probed on
+/// a fresh connection; if that answers, all older connections to it are retired, since something
+/// between the two ends may have lost track of them.
+class asio_endpoint_client : public endpoint_client {
+public:
+    asio_endpoint_client(boost::asio::io_context& context, endpoint_client_limits limits);
+    ~asio_endpoint_client() override;
+
+    std::unique_ptr<attempt_handle> dispatch(const network_address& endpoint,
+                                             endpoint_request request,
+                                             attempt_observer& observer) override;
+
+    struct pool;
+
+private:
+    std::shared_ptr<pool> shared;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/serving/completion_codec.h
@@ -0,0 +1,70 @@
+#ifndef EELGRASSBEND_SERVING_COMPLETION_CODEC_H
+#define EELGRASSBEND_SERVING_COMPLETION_CODEC_H
+
+#include "eelgrassbend/support/error.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace eelgrassbend {
+
+enum class completion_kind { chat, text };
+
+/// What a caller asks of a model.
+struct completion_request {
+    completion_kind kind = completion_kind::chat;
+    std::string model;
+    std::string prompt; ///< of a chat: "<role>: <content>\n" for each message
+    std::int64_t max_tokens = 0;
+    bool stream = false;
+    std::string body; ///< as the caller sent it
+};
+
+/// How far an answer has come; what a resumed attempt goes on from.
+struct emitted_answer {
+    std::string text;
+    std::int64_t tokens = 0;
+};
+
+struct token_usage {
+    std::int64_t prompt_tokens = 0;
+    std::int64_t completion_tokens = 0;
+    std::int64_t cached_tokens = 0;
+};
+
+/// One event of an engine's answer.
+struct completion_event {
+    std::string id;
+    std::string text;
+    std::string finish_reason; ///< empty but for the last event
+    std::optional<token_usage> usage;
+};
+
+constexpr std::int64_t default_max_tokens = 256;
+constexpr std::int64_t most_max_tokens = 16'384;
+
+/// Errors: `invalid_argument`, naming the field.
+result<completion_request> parse_completion_request(completion_kind kind, std::string body);
+
+/// The body for an engine: always streamed, and resumed if something has been emitted.
+std::string engine_body(const completion_request& request, const emitted_answer& emitted);
+
+result<completion_event> parse_completion_event(const std::string& data);
+
+/// One token towards the caller.
+std::string token_chunk(completion_kind kind, const request_id& id, const std::string& model,
+                        const std::string& text);
+/// The last event towards the caller.
+std::string final_chunk(completion_kind kind, const request_id& id, const std::string& model,
+                        const std::string& finish_reason, const token_usage& usage);
+/// An answer that is not streamed.
+std::string whole_answer(completion_kind kind, const request_id& id, const std::string& model,
+                         const std::string& text, const std::string& finish_reason,
+                         const token_usage& usage);
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/serving/front.h
@@ -0,0 +1,64 @@
+#ifndef EELGRASSBEND_SERVING_FRONT_H
+#define EELGRASSBEND_SERVING_FRONT_H
+
+#include "eelgrassbend/serving/completion_codec.h"
+#include "eelgrassbend/serving/exchange.h"
+#include "eelgrassbend/serving/request_flow.h"
+#include "eelgrassbend/serving/services.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace eelgrassbend {
+
+/// What operators see of the node; the daemon provides it.
+class node_status {
+public:
+    virtual ~node_status() = default;
+    /// Empty if the node takes new work, else why it does not.
+    [[nodiscard]] virtual std::string not_ready_reason() const = 0;
+    [[nodiscard]] virtual std::string metrics_text() const = 0;
+    /// A JSON object.
+    [[nodiscard]] virtual std::string status_json() const = 0;
+};
+
+/// Answers callers: finds out who asks for what, and starts a flow for what is admitted.
+class front : public http_handler {
+public:
+    front(const serving_services& services, const entry_directory& entries,
+          const node_status& status);
+
+    void handle(http_request request, std::shared_ptr<exchange> answer) override;
+    /// To be called for every change of an endpoint.
+    void endpoint_changed(const endpoint_info& changed);
+
+    /// Requests under way.
+    [[nodiscard]] std::size_t active() const { return this->flows.size(); }
+
+private:
+    void answer_entries(const http_request& request, exchange& answer) const;
+    void answer_ready(exchange& answer) const;
+    void serve_completion(completion_kind kind, http_request request,
+                          std::shared_ptr<exchange> answer);
+    void serve_plain(http_request request, std::shared_ptr<exchange> answer);
+    /// Who asks; error if the key is wrong or the view too old.
+    result<admitted_request> authenticate(http_request request,
+                                          std::shared_ptr<exchange> answer) const;
+    result<void> allow_service(admitted_request& admitted, const std::string& name,
+                               service_kind kind) const;
+    /// Whether the limits admit the request; refuses it otherwise.
+    bool admit(const admitted_request& admitted, money expected_cost);
+    void run(std::shared_ptr<request_flow> flow, const request_id& id);
+    request_flow::ended_handler when_ended();
+
+    const serving_services& services;
+    const entry_directory& entry_hosts;
+    const node_status& status;
+    std::unordered_map<std::string, std::shared_ptr<request_flow>> flows;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/serving/model_flow.h
@@ -0,0 +1,65 @@
+#ifndef EELGRASSBEND_SERVING_MODEL_FLOW_H
+#define EELGRASSBEND_SERVING_MODEL_FLOW_H
+
+#include "eelgrassbend/serving/completion_codec.h"
+#include "eelgrassbend/serving/request_flow.h"
+#include "eelgrassbend/serving/sse.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// What is known of a model request before it runs.
+struct size_estimate {
+    request_class size = request_class::normal;
+    token_count prompt_tokens;
+    token_count expected_output;
+    std::vector<std::uint64_t> prefix;
+};
+
+/// A request to a model. It can always be run again: what an attempt has emitted is kept, and the
+/// next attempt goes on from there.
+class model_flow : public request_flow {
+public:
+    model_flow(const serving_services& services, admitted_request admitted,
+               completion_request completion, size_estimate estimate, ended_handler on_ended);
+
+    void begin() override;
+    void head(int status, const header_list& headers) override;
+    void body(std::string_view bytes) override;
+
+protected:
+    endpoint_request next_attempt() override;
+    [[nodiscard]] route_request describe() const override;
+    result<void> answer_complete() override;
+
+    [[nodiscard]] bool repeatable() const override { return true; }
+
+    void give_up(const refusal& refused) override;
+
+private:
+    void handle_event(const std::string& data);
+    void emit(const std::string& text);
+    void start_stream();
+    void content_failed(errc code, const std::string& detail);
+    void deliver(exchange::delivered_handler delivered);
+
+    completion_request completion;
+    size_estimate estimate;
+    emitted_answer emitted;
+    sse_parser events;
+    std::string finish_reason;
+    token_usage usage;
+    int status = 0;
+    bool end_seen = false;
+};
+
+/// Class, prompt tokens and expected output of a request. `declared` is the caller's word for the
+/// class: "quick", "normal", "long" or empty.
+size_estimate estimate_size(const completion_request& request, std::string_view declared);
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/serving/services.h
@@ -0,0 +1,50 @@
+#ifndef EELGRASSBEND_SERVING_SERVICES_H
+#define EELGRASSBEND_SERVING_SERVICES_H
+
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+namespace eelgrassbend {
+
+class bundle_view;
+class claim_service;
+class endpoint_client;
+class endpoint_directory;
+class entry_directory;
+class event_log;
+class ledger;
+class limiter;
+class membership;
+class metrics;
+class random_source;
+class router;
+class scheduler;
+
+struct serving_settings {
+    node_id node;
+    duration progress_timeout = std::chrono::seconds{5};   ///< silence of an endpoint
+    duration retry_pause = std::chrono::milliseconds{100}; ///< when no endpoint can take a request
+    duration refusal_retry_after = std::chrono::seconds{1};
+    duration move_margin = std::chrono::seconds{1}; ///< before a leaving endpoint is taken
+    int most_attempts = 12;                         ///< of one request
+};
+
+/// What the request flows need; all outlive them.
+struct serving_services {
+    const serving_settings& settings;
+    scheduler& time;
+    random_source& random;
+    event_log& log;
+    metrics& counters;
+    bundle_view& bundles;
+    limiter& limits;
+    router& routes;
+    endpoint_directory& endpoints;
+    endpoint_client& client;
+    claim_service& claims;
+    ledger& bills;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/logging/json_event_log.cpp
@@ -0,0 +1,68 @@
+#include "eelgrassbend/logging/json_event_log.h"
+
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace eelgrassbend {
+
+static const char* level_name(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "unknown";
+}
+
+std::string format_log_line(wall_time time, log_level level, const node_id& node,
+                            std::string_view event, const nlohmann::json& fields)
+{
+    nlohmann::ordered_json line;
+    line["time_us"] =
+        std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+    line["level"] = level_name(level);
+    line["node"] = node.value();
+    line["event"] = event;
+    for (const auto& [key, value] : fields.items()) {
+        line[key] = value;
+    }
+    // Foreign bytes can reach a log line; a bad sequence must not end the program.
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+static void configure_output()
+{
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::Format, "%msg");
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureAllLoggers(settings);
+}
+
+json_event_log::json_event_log(const clock_source& clock, node_id node, log_level least)
+    : clock(clock), node(std::move(node)), least(least)
+{
+    configure_output();
+}
+
+void json_event_log::write(log_level level, std::string_view event, const nlohmann::json& fields)
+{
+    if (level < this->least) {
+        return;
+    }
+    const auto line = format_log_line(this->clock.wall_now(), level, this->node, event, fields);
+    LOG(INFO) << line;
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/net/http_session.cpp
@@ -0,0 +1,510 @@
+#include "http_session.h"
+
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <cassert>
+#include <deque>
+#include <optional>
+#include <sstream>
+#include <vector>
+
+namespace eelgrassbend {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/// How often unacknowledged bytes are looked at after an answer's last byte was written.
+static constexpr std::chrono::milliseconds acknowledgement_poll{2};
+static constexpr unsigned http_1_1 = 11;
+static constexpr std::size_t first_read_bytes = 4096;
+
+/// One connection of a caller. Requests on it are answered one after the other.
+class http_session : public std::enable_shared_from_this<http_session> {
+public:
+    http_session(asio::ip::tcp::socket socket, std::shared_ptr<session_common> common)
+        : stream(std::move(socket)), poll_timer(stream.get_executor()), common(std::move(common))
+    {
+        boost::system::error_code ignored;
+        this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+
+    void wait_for_request();
+    void close();
+    void close_if_idle();
+    void refuse_and_close(http::status status, const std::string& detail);
+
+    void start_answer(int status, const header_list& headers, std::optional<std::size_t> length);
+    void write(std::string bytes);
+    void end_answer(exchange::delivered_handler delivered);
+    void abort_answer();
+    void on_gone(std::function<void()> handler);
+
+    [[nodiscard]] bool is_open() const { return this->open; }
+
+private:
+    void read_request();
+    void read_failed(boost::system::error_code failure);
+    void handle_request();
+    void watch_for_close();
+    void write_next();
+    void written(boost::system::error_code failure);
+    void await_acknowledgement();
+    void answer_delivered();
+    void connection_failed(const std::string& detail);
+    [[nodiscard]] std::string peer() const;
+
+    beast::tcp_stream stream;
+    asio::steady_timer poll_timer;
+    std::shared_ptr<session_common> common;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    std::deque<std::string> output;
+    std::size_t unsent = 0;
+    exchange::delivered_handler delivered;
+    std::function<void()> gone;
+    duration acknowledgement_left{};
+    bool open = true;
+    bool writing = false;
+    bool answering = false;
+    bool ending = false;
+    bool keep_alive = true;
+    bool close_after_write = false;
+};
+
+namespace {
+
+/// The exchange that a handler holds; it may outlive the connection.
+class session_exchange : public exchange {
+public:
+    explicit session_exchange(std::shared_ptr<http_session> session) : session(std::move(session))
+    {
+    }
+
+    ~session_exchange() override
+    {
+        if (!this->ended) {
+            this->session->abort_answer();
+        }
+    }
+
+    void respond(int status, header_list headers, std::string body,
+                 delivered_handler delivered) override
+    {
+        this->session->start_answer(status, headers, body.size());
+        this->session->write(std::move(body));
+        this->end(std::move(delivered));
+    }
+
+    void start(int status, header_list headers) override
+    {
+        this->session->start_answer(status, headers, std::nullopt);
+    }
+
+    void send(std::string bytes) override
+    {
+        if (!bytes.empty()) {
+            this->session->write(beast::buffers_to_string(http::make_chunk(asio::buffer(bytes))));
+        }
+    }
+
+    void finish(std::string bytes, delivered_handler delivered) override
+    {
+        this->send(std::move(bytes));
+        this->session->write(beast::buffers_to_string(http::make_chunk_last()));
+        this->end(std::move(delivered));
+    }
+
+    void abort() override
+    {
+        this->ended = true;
+        this->session->abort_answer();
+    }
+
+    void on_gone(std::function<void()> handler) override
+    {
+        this->session->on_gone(std::move(handler));
+    }
+
+private:
+    void end(delivered_handler delivered)
+    {
+        assert(!this->ended && "an exchange ends once");
+        this->ended = true;
+        this->session->end_answer(std::move(delivered));
+    }
+
+    std::shared_ptr<http_session> session;
+    bool ended = false;
+};
+
+} // namespace
+
+void session_common::open(asio::ip::tcp::socket socket)
+{
+    auto session = std::make_shared<http_session>(std::move(socket), this->shared_from_this());
+    if (this->sessions.size() >= this->limits.connections) {
+        session->refuse_and_close(http::status::service_unavailable, "too many connections");
+        return;
+    }
+    this->sessions.insert(session);
+    session->wait_for_request();
+}
+
+void session_common::closed(http_session& session)
+{
+    this->sessions.erase(session.shared_from_this());
+}
+
+void session_common::drain()
+{
+    this->draining = true;
+    const auto copy = this->sessions;
+    for (const auto& session : copy) {
+        session->close_if_idle();
+    }
+}
+
+void session_common::close_all()
+{
+    const auto copy = this->sessions;
+    for (const auto& session : copy) {
+        session->close();
+    }
+}
+
+// A connection may rest between requests, but once a request has begun it must arrive in time.
+void http_session::wait_for_request()
+{
+    if (this->buffer.size() > 0) {
+        this->read_request();
+        return;
+    }
+    this->stream.expires_after(this->common->limits.idle_time);
+    auto self = this->shared_from_this();
+    this->stream.async_read_some(this->buffer.prepare(first_read_bytes),
+                                 [self](boost::system::error_code failure, std::size_t length) {
+                                     if (failure) {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->buffer.commit(length);
+                                     self->read_request();
+                                 });
+}
+
+void http_session::read_request()
+{
+    this->parser.emplace();
+    this->parser->header_limit(static_cast<std::uint32_t>(this->common->limits.header_bytes));
+    this->parser->body_limit(this->common->limits.body_bytes);
+    this->stream.expires_after(this->common->limits.read_time);
+    auto self = this->shared_from_this();
+    http::async_read(this->stream, this->buffer, *this->parser,
+                     [self](boost::system::error_code failure, std::size_t) {
+                         if (failure) {
+                             self->read_failed(failure);
+                             return;
+                         }
+                         self->handle_request();
+                     });
+}
+
+void http_session::read_failed(boost::system::error_code failure)
+{
+    if (failure == http::error::header_limit) {
+        this->refuse_and_close(http::status::request_header_fields_too_large,
+                               "header is too large");
+        return;
+    }
+    if (failure == http::error::body_limit) {
+        this->refuse_and_close(http::status::payload_too_large, "body is too large");
+        return;
+    }
+    if (failure == beast::error::timeout) {
+        // The stream closed itself; a caller this slow is not worth an answer.
+        this->close();
+        return;
+    }
+    const auto& http_category = make_error_code(http::error::bad_method).category();
+    const bool connection_ended =
+        failure == http::error::end_of_stream || failure == http::error::partial_message;
+    if (failure.category() == http_category && !connection_ended) {
+        this->refuse_and_close(http::status::bad_request, failure.message());
+        return;
+    }
+    this->close();
+}
+
+static http_request to_request(const http::request<http::string_body>& message)
+{
+    http_request request;
+    request.method = std::string{message.method_string()};
+    request.target = std::string{message.target()};
+    for (const auto& field : message) {
+        request.headers.emplace_back(std::string{field.name_string()}, std::string{field.value()});
+    }
+    request.body = message.body();
+    return request;
+}
+
+void http_session::handle_request()
+{
+    this->stream.expires_never();
+    const auto message = this->parser->release();
+    this->keep_alive = message.keep_alive();
+    this->answering = true;
+    ++this->common->active_exchanges;
+    this->watch_for_close();
+    auto self = this->shared_from_this();
+    this->common->handler.handle(to_request(message), std::make_shared<session_exchange>(self));
+}
+
+// While an answer is under way the connection is readable when the caller sends its next request
+// or goes away; only the latter matters.
+void http_session::watch_for_close()
+{
+    auto self = this->shared_from_this();
+    this->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read, [self](boost::system::error_code failure) {
+            if (failure || !self->answering || !self->open) {
+                return;
+            }
+            char byte = 0;
+            const auto seen =
+                ::recv(self->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (seen <= 0) {
+                self->connection_failed("caller closed the connection");
+            }
+        });
+}
+
+void http_session::refuse_and_close(http::status status, const std::string& detail)
+{
+    http::response<http::string_body> response{status, http_1_1};
+    response.set(http::field::content_type, "application/problem+json");
+    response.set("Eelgrassbend-Outcome", "not-run");
+    response.keep_alive(false);
+    response.body() = "{\"step\":\"read request\",\"detail\":\"" + detail + "\"}\n";
+    response.prepare_payload();
+    std::ostringstream text;
+    text << response;
+    this->close_after_write = true;
+    this->stream.expires_after(this->common->limits.write_time);
+    this->write(text.str());
+}
+
+void http_session::start_answer(int status, const header_list& headers,
+                                std::optional<std::size_t> length)
+{
+    http::response<http::empty_body> head{http::int_to_status(static_cast<unsigned>(status)),
+                                          http_1_1};
+    for (const auto& [name, value] : headers) {
+        head.insert(name, value);
+    }
+    this->keep_alive = this->keep_alive && !this->common->draining;
+    head.keep_alive(this->keep_alive);
+    if (length) {
+        head.content_length(*length);
+    }
+    else {
+        head.chunked(true);
+    }
+    std::ostringstream text;
+    text << head.base();
+    this->write(text.str());
+}
+
+void http_session::write(std::string bytes)
+{
+    if (!this->open || bytes.empty()) {
+        return;
+    }
+    this->unsent += bytes.size();
+    this->output.push_back(std::move(bytes));
+    if (this->unsent > this->common->limits.unsent_bytes && this->output.size() > 2) {
+        this->connection_failed("caller reads too slowly");
+        return;
+    }
+    if (!this->writing) {
+        this->write_next();
+    }
+}
+
+void http_session::write_next()
+{
+    this->writing = true;
+    this->stream.expires_after(this->common->limits.write_time);
+    auto self = this->shared_from_this();
+    asio::async_write(
+        this->stream, asio::buffer(this->output.front()),
+        [self](boost::system::error_code failure, std::size_t) { self->written(failure); });
+}
+
+void http_session::written(boost::system::error_code failure)
+{
+    this->writing = false;
+    if (!this->open) {
+        return;
+    }
+    if (failure) {
+        this->connection_failed(failure.message());
+        return;
+    }
+    this->unsent -= this->output.front().size();
+    this->output.pop_front();
+    if (!this->output.empty()) {
+        this->write_next();
+        return;
+    }
+    this->stream.expires_never();
+    if (this->close_after_write) {
+        this->close();
+        return;
+    }
+    if (this->ending) {
+        this->acknowledgement_left = this->common->limits.write_time;
+        this->await_acknowledgement();
+    }
+}
+
+void http_session::end_answer(exchange::delivered_handler handler)
+{
+    if (!this->open) {
+        if (handler) {
+            handler(
+                make_error(errc::unavailable, "send answer", this->peer(), "connection is closed"));
+        }
+        return;
+    }
+    this->delivered = std::move(handler);
+    this->ending = true;
+    if (!this->writing) {
+        this->acknowledgement_left = this->common->limits.write_time;
+        this->await_acknowledgement();
+    }
+}
+
+// The kernel counts bytes that the other side has not acknowledged.
+void http_session::await_acknowledgement()
+{
+    int unacknowledged = 0;
+    if (::ioctl(this->stream.socket().native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+        this->connection_failed("unacknowledged bytes cannot be read");
+        return;
+    }
+    if (unacknowledged == 0) {
+        this->answer_delivered();
+        return;
+    }
+    this->acknowledgement_left -= acknowledgement_poll;
+    if (this->acknowledgement_left <= duration::zero()) {
+        this->connection_failed("caller does not acknowledge the answer");
+        return;
+    }
+    this->poll_timer.expires_after(acknowledgement_poll);
+    auto self = this->shared_from_this();
+    this->poll_timer.async_wait([self](boost::system::error_code failure) {
+        if (!failure && self->open) {
+            self->await_acknowledgement();
+        }
+    });
+}
+
+void http_session::answer_delivered()
+{
+    this->answering = false;
+    this->ending = false;
+    this->gone = nullptr;
+    --this->common->active_exchanges;
+    const auto handler = std::exchange(this->delivered, nullptr);
+    boost::system::error_code ignored;
+    this->stream.socket().cancel(ignored);
+    if (!this->keep_alive || this->common->draining) {
+        this->close();
+    }
+    else {
+        this->wait_for_request();
+    }
+    if (handler) {
+        handler(boost::outcome_v2::success());
+    }
+}
+
+void http_session::abort_answer()
+{
+    if (this->open && this->answering) {
+        this->gone = nullptr;
+        this->close();
+    }
+}
+
+void http_session::on_gone(std::function<void()> handler)
+{
+    if (this->open) {
+        this->gone = std::move(handler);
+    }
+}
+
+void http_session::connection_failed(const std::string& detail)
+{
+    const auto peer_name = this->peer();
+    const auto handler = std::exchange(this->delivered, nullptr);
+    const auto gone_handler = std::exchange(this->gone, nullptr);
+    this->close();
+    if (handler) {
+        handler(make_error(errc::unavailable, "send answer", peer_name, detail));
+    }
+    else if (gone_handler) {
+        gone_handler();
+    }
+}
+
+void http_session::close_if_idle()
+{
+    if (!this->answering && this->buffer.size() == 0) {
+        this->close();
+    }
+}
+
+void http_session::close()
+{
+    if (!this->open) {
+        return;
+    }
+    auto self = this->shared_from_this();
+    this->open = false;
+    if (this->answering) {
+        --this->common->active_exchanges;
+        this->answering = false;
+    }
+    this->poll_timer.cancel();
+    this->stream.cancel();
+    boost::system::error_code ignored;
+    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    this->stream.close();
+    this->common->closed(*this);
+}
+
+std::string http_session::peer() const
+{
+    boost::system::error_code failure;
+    const auto remote =
+        const_cast<beast::tcp_stream&>(this->stream).socket().remote_endpoint(failure);
+    if (failure) {
+        return "caller";
+    }
+    std::ostringstream text;
+    text << "caller " << remote;
+    return text.str();
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/serving/front.cpp
@@ -0,0 +1,287 @@
+#include "eelgrassbend/serving/front.h"
+
+#include "eelgrassbend/discovery/entry_directory.h"
+#include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/metrics/metrics.h"
+#include "eelgrassbend/routing/limiter.h"
+#include "eelgrassbend/serving/model_flow.h"
+#include "eelgrassbend/serving/plain_flow.h"
+#include "eelgrassbend/support/hash.h"
+#include "eelgrassbend/support/uuid.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace eelgrassbend {
+
+static constexpr std::string_view services_prefix = "/services/";
+static constexpr int status_ok = 200;
+
+front::front(const serving_services& services, const entry_directory& entries,
+             const node_status& status)
+    : services(services), entry_hosts(entries), status(status)
+{
+}
+
+static void respond_text(exchange& answer, int status, const char* type, std::string body)
+{
+    answer.respond(status, {{"Content-Type", type}}, std::move(body), nullptr);
+}
+
+static refusal not_run(error reason, std::optional<duration> retry_after = std::nullopt)
+{
+    const auto status = status_for(reason);
+    return {status, request_outcome::not_run, std::move(reason), retry_after};
+}
+
+void front::handle(http_request request, std::shared_ptr<exchange> answer)
+{
+    const auto path = request.path();
+    if (path.starts_with(services_prefix)) {
+        this->serve_plain(std::move(request), std::move(answer));
+        return;
+    }
+    if (path == "/v1/chat/completions" || path == "/v1/completions") {
+        if (request.method != "POST") {
+            refusal refused = not_run(make_error(errc::invalid_argument, "route request", {},
+                                                 "only POST is answered here"));
+            refused.status = 405;
+            refuse(*answer, refused);
+            return;
+        }
+        const auto kind = path == "/v1/completions" ? completion_kind::text : completion_kind::chat;
+        this->serve_completion(kind, std::move(request), std::move(answer));
+        return;
+    }
+    if (path == "/v1/entries") {
+        this->answer_entries(request, *answer);
+        return;
+    }
+    if (path == "/v1/status") {
+        respond_text(*answer, status_ok, "application/json", this->status.status_json());
+        return;
+    }
+    if (path == "/metrics") {
+        respond_text(*answer, status_ok, "text/plain; version=0.0.4", this->status.metrics_text());
+        return;
+    }
+    if (path == "/healthz") {
+        respond_text(*answer, status_ok, "text/plain", "ok\n");
+        return;
+    }
+    if (path == "/readyz") {
+        this->answer_ready(*answer);
+        return;
+    }
+    refuse(*answer, not_run(make_error(errc::not_found, "route request", {}, path)));
+}
+
+void front::answer_ready(exchange& answer) const
+{
+    const auto reason = this->status.not_ready_reason();
+    if (reason.empty()) {
+        respond_text(answer, status_ok, "text/plain", "ready\n");
+        return;
+    }
+    respond_text(answer, 503, "text/plain", reason + "\n");
+}
+
+void front::answer_entries(const http_request& request, exchange& answer) const
+{
+    const auto chosen = this->entry_hosts.entries(organisation_id{request.query("organisation")},
+                                                  service_id{request.query("service")});
+    nlohmann::json entries = nlohmann::json::array();
+    for (const auto& choice : chosen.entries) {
+        entries.push_back({{"node", choice.node.value()},
+                           {"zone", choice.zone.value()},
+                           {"address", choice.address.to_string()},
+                           {"weight", choice.weight}});
+    }
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(chosen.time_to_live).count();
+    const nlohmann::json body{{"entries", std::move(entries)}, {"time_to_live_ms", milliseconds}};
+    respond_text(answer, status_ok, "application/json", body.dump() + "\n");
+}
+
+static std::string bearer_key(const http_request& request)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto value = request.header("Authorization");
+    return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string{};
+}
+
+result<admitted_request> front::authenticate(http_request request,
+                                             std::shared_ptr<exchange> answer) const
+{
+    if (const auto reason = this->status.not_ready_reason(); !reason.empty()) {
+        return make_error(errc::unavailable, "accept request", this->services.settings.node.value(),
+                          reason);
+    }
+    if (!this->services.bundles.fresh()) {
+        return make_error(errc::stale, "accept request", this->services.settings.node.value(),
+                          "the view of the bundle is too old");
+    }
+    admitted_request admitted;
+    admitted.rules = this->services.bundles.current();
+    const auto key = bearer_key(request);
+    admitted.organisation = key.empty() ? nullptr : admitted.rules->find_key(sha256_hex(key));
+    if (admitted.organisation == nullptr) {
+        return make_error(errc::unauthenticated, "authenticate", {},
+                          "the bearer key is missing or unknown");
+    }
+    const auto unique = make_uuid_v7(this->services.time.wall_now(), this->services.random);
+    admitted.id = request_id{this->services.settings.node.value() + "-" + unique};
+    admitted.http = std::move(request);
+    admitted.answer = std::move(answer);
+    return admitted;
+}
+
+static const service_spec* service_named(const bundle& rules, const std::string& name,
+                                         service_kind kind)
+{
+    const auto found = std::find_if(
+        rules.services.begin(), rules.services.end(), [&](const service_spec& service) {
+            const bool named = service.id.value() == name ||
+                               (kind == service_kind::model && service.model.value() == name);
+            return service.kind == kind && named;
+        });
+    return found == rules.services.end() ? nullptr : &*found;
+}
+
+result<void> front::allow_service(admitted_request& admitted, const std::string& name,
+                                  service_kind kind) const
+{
+    admitted.service = service_named(*admitted.rules, name, kind);
+    if (admitted.service == nullptr) {
+        return make_error(errc::not_found, "find service", name, "the bundle has no such service");
+    }
+    const auto& allowed = admitted.organisation->services;
+    if (std::find(allowed.begin(), allowed.end(), admitted.service->id) == allowed.end()) {
+        return make_error(errc::forbidden, "find service", name,
+                          "the organisation may not use this service");
+    }
+    return boost::outcome_v2::success();
+}
+
+bool front::admit(const admitted_request& admitted, money expected_cost)
+{
+    const auto refused =
+        this->services.limits.admit(admitted.organisation->id, admitted.id, expected_cost);
+    if (!refused) {
+        return true;
+    }
+    this->services.counters.count(
+        "eelgrassbend_limit_refusals_total",
+        {{"organisation", admitted.organisation->id.value()}, {"limit", refused->limit}}, 1);
+    this->services.log.write(log_level::info, "limit",
+                             {{"request", admitted.id.value()},
+                              {"organisation", admitted.organisation->id.value()},
+                              {"limit", refused->limit}});
+    refuse(
+        *admitted.answer,
+        not_run(make_error(errc::rate_limited, "admit request", admitted.organisation->id.value(),
+                           "the organisation's " + refused->limit + " limit is reached"),
+                refused->retry_after));
+    return false;
+}
+
+request_flow::ended_handler front::when_ended()
+{
+    return [this](const request_id& id) { this->flows.erase(id.value()); };
+}
+
+void front::run(std::shared_ptr<request_flow> flow, const request_id& id)
+{
+    this->flows.emplace(id.value(), flow);
+    flow->begin();
+}
+
+void front::serve_completion(completion_kind kind, http_request request,
+                             std::shared_ptr<exchange> answer)
+{
+    const auto retry = this->services.settings.refusal_retry_after;
+    auto admitted = this->authenticate(std::move(request), answer);
+    if (!admitted) {
+        refuse(*answer, not_run(admitted.error(), retry));
+        return;
+    }
+    auto& wanted = admitted.value();
+    auto parsed = parse_completion_request(kind, wanted.http.body);
+    if (!parsed) {
+        refuse(*answer, not_run(parsed.error()));
+        return;
+    }
+    if (auto allowed = this->allow_service(wanted, parsed.value().model, service_kind::model);
+        !allowed) {
+        refuse(*answer, not_run(allowed.error()));
+        return;
+    }
+    auto estimate = estimate_size(parsed.value(), wanted.http.header("Eelgrassbend-Class"));
+    const auto expected =
+        price_of(wanted.service->prices, estimate.prompt_tokens, estimate.expected_output);
+    if (!this->admit(wanted, expected)) {
+        return;
+    }
+    const auto id = wanted.id;
+    this->run(std::make_shared<model_flow>(this->services, std::move(wanted),
+                                           std::move(parsed.value()), std::move(estimate),
+                                           this->when_ended()),
+              id);
+}
+
+/// Splits "/services/<name>/<rest>"; the rest keeps its leading slash and query.
+static std::pair<std::string, std::string> split_target(const std::string& target)
+{
+    const auto rest = target.substr(services_prefix.size());
+    const auto end = rest.find_first_of("/?");
+    if (end == std::string::npos) {
+        return {rest, "/"};
+    }
+    auto path = rest.substr(end);
+    return {rest.substr(0, end), path.starts_with('/') ? path : "/" + path};
+}
+
+void front::serve_plain(http_request request, std::shared_ptr<exchange> answer)
+{
+    const auto retry = this->services.settings.refusal_retry_after;
+    auto admitted = this->authenticate(std::move(request), answer);
+    if (!admitted) {
+        refuse(*answer, not_run(admitted.error(), retry));
+        return;
+    }
+    auto& wanted = admitted.value();
+    auto [name, path] = split_target(wanted.http.target);
+    if (auto allowed = this->allow_service(wanted, name, service_kind::plain); !allowed) {
+        refuse(*answer, not_run(allowed.error()));
+        return;
+    }
+    const auto& repeatable = wanted.service->repeatable_methods;
+    const bool can_repeat =
+        std::find(repeatable.begin(), repeatable.end(), wanted.http.method) != repeatable.end();
+    const idempotency_key key{wanted.http.header("Idempotency-Key")};
+    if (!can_repeat && !uuid_v7_time(key.value())) {
+        refuse(*answer, not_run(make_error(errc::invalid_argument, "claim idempotency key", name,
+                                           "the Idempotency-Key header must be a UUIDv7")));
+        return;
+    }
+    if (!this->admit(wanted, wanted.service->prices.per_request)) {
+        return;
+    }
+    const auto id = wanted.id;
+    this->run(std::make_shared<plain_flow>(this->services, std::move(wanted), std::move(path),
+                                           can_repeat, key, this->when_ended()),
+              id);
+}
+
+void front::endpoint_changed(const endpoint_info& changed)
+{
+    const auto copy = this->flows;
+    for (const auto& [id, flow] : copy) {
+        flow->endpoint_changed(changed);
+    }
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/serving/model_flow.cpp
@@ -0,0 +1,247 @@
+#include "eelgrassbend/serving/model_flow.h"
+
+#include "eelgrassbend/support/hash.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace eelgrassbend {
+
+/// Answers up to this long are quick.
+static constexpr std::int64_t quick_tokens = 64;
+/// Answers that may be longer than this are long.
+static constexpr std::int64_t long_tokens = 512;
+
+static request_class class_of(const completion_request& request, std::string_view declared)
+{
+    if (declared == "quick") {
+        return request_class::quick;
+    }
+    if (declared == "long") {
+        return request_class::long_running;
+    }
+    if (declared == "normal") {
+        return request_class::normal;
+    }
+    if (request.max_tokens <= quick_tokens) {
+        return request_class::quick;
+    }
+    return request.max_tokens > long_tokens ? request_class::long_running : request_class::normal;
+}
+
+size_estimate estimate_size(const completion_request& request, std::string_view declared)
+{
+    size_estimate estimate;
+    const auto tokens = split_tokens(request.prompt);
+    estimate.size = class_of(request, declared);
+    estimate.prompt_tokens = token_count{static_cast<std::int64_t>(tokens.size())};
+    estimate.expected_output = token_count{request.max_tokens};
+    estimate.prefix = prefix_blocks(tokens);
+    return estimate;
+}
+
+model_flow::model_flow(const serving_services& services, admitted_request admitted,
+                       completion_request completion, size_estimate estimate,
+                       ended_handler on_ended)
+    : request_flow(services, std::move(admitted), std::move(on_ended)),
+      completion(std::move(completion)),
+      estimate(std::move(estimate))
+{
+}
+
+void model_flow::begin()
+{
+    this->arm_deadline();
+    std::weak_ptr<request_flow> weak = this->weak_from_this();
+    this->admitted.answer->on_gone([weak] {
+        if (const auto self = std::static_pointer_cast<model_flow>(weak.lock())) {
+            self->close("gone");
+        }
+    });
+    this->attempt_now();
+}
+
+route_request model_flow::describe() const
+{
+    route_request wanted;
+    wanted.request = this->admitted.id;
+    wanted.organisation = this->admitted.organisation->id;
+    wanted.service = this->admitted.service->id;
+    wanted.size = this->estimate.size;
+    wanted.priority = this->admitted.organisation->priority;
+    wanted.prompt_tokens = this->estimate.prompt_tokens + token_count{this->emitted.tokens};
+    wanted.expected_output = this->estimate.expected_output - token_count{this->emitted.tokens};
+    wanted.prefix = this->estimate.prefix;
+    wanted.deadline = this->accepted_at + this->admitted.service->request_deadline;
+    return wanted;
+}
+
+/// Engines serve higher numbers first; a class outweighs any organisation's priority.
+static std::string engine_priority(const route_request& wanted)
+{
+    constexpr std::int32_t class_weight = 1000;
+    const auto rank = 2 - static_cast<std::int32_t>(wanted.size);
+    return std::to_string(rank * class_weight + wanted.priority);
+}
+
+endpoint_request model_flow::next_attempt()
+{
+    this->events = sse_parser{};
+    this->finish_reason.clear();
+    this->end_seen = false;
+    this->status = 0;
+    endpoint_request request;
+    request.method = "POST";
+    request.target =
+        this->completion.kind == completion_kind::chat ? "/v1/chat/completions" : "/v1/completions";
+    const auto deadline = this->accepted_at + this->admitted.service->request_deadline;
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - this->services.time.now());
+    request.headers = {{"Content-Type", "application/json"},
+                       {"X-Request-Id", this->admitted.id.value()},
+                       {"X-Priority", engine_priority(this->describe())},
+                       {"X-Deadline-Ms", std::to_string(left.count())}};
+    request.body = engine_body(this->completion, this->emitted);
+    return request;
+}
+
+void model_flow::head(int answered, const header_list&)
+{
+    constexpr int ok = 200;
+    this->status = answered;
+    if (answered != ok) {
+        this->content_failed(errc::unavailable, "status " + std::to_string(answered));
+    }
+}
+
+void model_flow::body(std::string_view bytes)
+{
+    auto self = this->shared_from_this();
+    auto events = this->events.feed(bytes);
+    if (!events) {
+        this->content_failed(errc::invalid_argument, events.error().detail);
+        return;
+    }
+    const auto current = this->attempt;
+    for (const auto& data : events.value()) {
+        this->handle_event(data);
+        if (!this->is_open() || this->attempt != current) {
+            return;
+        }
+    }
+}
+
+void model_flow::handle_event(const std::string& data)
+{
+    if (data == "[DONE]") {
+        this->end_seen = true;
+        return;
+    }
+    auto event = parse_completion_event(data);
+    if (!event) {
+        this->content_failed(errc::invalid_argument, event.error().detail);
+        return;
+    }
+    if (event.value().id != this->attempt.value()) {
+        this->content_failed(errc::mismatched, "event is for another attempt");
+        return;
+    }
+    if (event.value().usage) {
+        this->usage = *event.value().usage;
+    }
+    if (!event.value().finish_reason.empty()) {
+        this->finish_reason = event.value().finish_reason;
+        return;
+    }
+    this->emit(event.value().text);
+}
+
+void model_flow::start_stream()
+{
+    if (std::exchange(this->answer_started, true)) {
+        return;
+    }
+    this->admitted.answer->start(200, {{"Content-Type", "text/event-stream"},
+                                       {"Cache-Control", "no-store"},
+                                       {"Eelgrassbend-Request", this->admitted.id.value()}});
+}
+
+static std::string event_id(const request_id& request, std::int64_t number)
+{
+    return request.value() + ":" + std::to_string(number);
+}
+
+void model_flow::emit(const std::string& text)
+{
+    this->emitted.text += text;
+    ++this->emitted.tokens;
+    this->note_progress(token_count{this->emitted.tokens});
+    if (!this->completion.stream) {
+        return;
+    }
+    this->start_stream();
+    const auto chunk =
+        token_chunk(this->completion.kind, this->admitted.id, this->completion.model, text);
+    this->admitted.answer->send(
+        format_sse(event_id(this->admitted.id, this->emitted.tokens), chunk));
+}
+
+void model_flow::content_failed(errc code, const std::string& detail)
+{
+    this->attempt_failed(make_error(code, "read engine answer", this->target.id.value(), detail),
+                         dispatch_state::maybe_sent);
+}
+
+result<void> model_flow::answer_complete()
+{
+    const auto incomplete = [this](const char* detail) {
+        return make_error(errc::truncated, "read engine answer", this->target.id.value(), detail);
+    };
+    if (!this->end_seen || this->finish_reason.empty()) {
+        return incomplete("the end of the answer is missing");
+    }
+    if (this->usage.completion_tokens != this->emitted.tokens) {
+        return incomplete("tokens are missing");
+    }
+    auto line = this->make_line(token_count{this->usage.prompt_tokens},
+                                token_count{this->emitted.tokens}, sha256_hex(this->emitted.text));
+    auto self = std::static_pointer_cast<model_flow>(this->shared_from_this());
+    this->bill_and_deliver(std::move(line), [self](exchange::delivered_handler delivered) {
+        self->deliver(std::move(delivered));
+    });
+    return boost::outcome_v2::success();
+}
+
+void model_flow::deliver(exchange::delivered_handler delivered)
+{
+    if (!this->completion.stream) {
+        auto answer = whole_answer(this->completion.kind, this->admitted.id, this->completion.model,
+                                   this->emitted.text, this->finish_reason, this->usage);
+        this->admitted.answer->respond(200,
+                                       {{"Content-Type", "application/json"},
+                                        {"Eelgrassbend-Request", this->admitted.id.value()},
+                                        {"Eelgrassbend-Outcome", "ran"}},
+                                       std::move(answer), std::move(delivered));
+        return;
+    }
+    this->start_stream();
+    const auto chunk = final_chunk(this->completion.kind, this->admitted.id, this->completion.model,
+                                   this->finish_reason, this->usage);
+    const auto last = event_id(this->admitted.id, this->emitted.tokens + 1);
+    this->admitted.answer->finish(format_sse(last, chunk) + format_sse({}, "[DONE]"),
+                                  std::move(delivered));
+}
+
+// A stream that has begun cannot change its status; it gets an error event and no proper end.
+void model_flow::give_up(const refusal& refused)
+{
+    if (!this->answer_started) {
+        request_flow::give_up(refused);
+        return;
+    }
+    this->admitted.answer->send("event: error\ndata: " + refusal_body(refused) + "\n");
+    this->admitted.answer->abort();
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/serving/plain_flow.cpp
@@ -0,0 +1,217 @@
+#include "eelgrassbend/serving/plain_flow.h"
+
+#include "eelgrassbend/support/hash.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+#include <utility>
+
+namespace eelgrassbend {
+
+/// Longer answers are kept as a digest only.
+static constexpr std::size_t longest_kept_body = 16 * 1024;
+static constexpr int first_server_error = 500;
+
+plain_flow::plain_flow(const serving_services& services, admitted_request admitted,
+                       std::string path, bool can_repeat, idempotency_key key,
+                       ended_handler on_ended)
+    : request_flow(services, std::move(admitted), std::move(on_ended)),
+      path(std::move(path)),
+      can_repeat(can_repeat),
+      key(std::move(key))
+{
+}
+
+void plain_flow::begin()
+{
+    this->arm_deadline();
+    if (this->can_repeat) {
+        this->attempt_now();
+        return;
+    }
+    const auto scope =
+        this->admitted.organisation->id.value() + "/" + this->admitted.service->id.value();
+    auto self = std::static_pointer_cast<plain_flow>(this->shared_from_this());
+    this->services.claims.claim(scope, this->key, this->admitted.id,
+                                [self](const claim_answer& answer) { self->claimed(answer); });
+}
+
+void plain_flow::claimed(const claim_answer& answer)
+{
+    this->granted = answer.state == claim_state::granted;
+    if (!this->is_open()) {
+        this->closing();
+        return;
+    }
+    const auto peer = this->key.value();
+    switch (answer.state) {
+    case claim_state::granted:
+        this->attempt_now();
+        return;
+    case claim_state::finished:
+        this->replay(answer.outcome);
+        return;
+    case claim_state::running:
+        this->refuse_request(make_error(errc::conflict, "claim idempotency key", peer,
+                                        "another request with this key is under way"),
+                             request_outcome::unknown, std::chrono::seconds{1});
+        return;
+    case claim_state::unknown:
+        this->refuse_request(make_error(errc::outcome_unknown, "claim idempotency key", peer,
+                                        "an earlier request with this key may have run"),
+                             request_outcome::unknown);
+        return;
+    case claim_state::refused:
+        this->refuse_request(answer.reason, request_outcome::not_run,
+                             this->services.settings.refusal_retry_after);
+        return;
+    }
+}
+
+void plain_flow::replay(const recorded_outcome& outcome)
+{
+    auto self = std::static_pointer_cast<plain_flow>(this->shared_from_this());
+    const auto delivered = [self](const result<void>&) { self->close("replayed"); };
+    header_list headers{{"Eelgrassbend-Outcome", "ran"},
+                        {"Eelgrassbend-Replayed", "true"},
+                        {"Eelgrassbend-Answer-Digest", outcome.digest}};
+    if (outcome.body.empty()) {
+        // The answer was too long to keep: the caller learns that it ran and how it ended.
+        headers.emplace_back("Eelgrassbend-Recorded-Status", std::to_string(outcome.status));
+        this->admitted.answer->respond(204, std::move(headers), {}, delivered);
+        return;
+    }
+    headers.emplace_back("Content-Type", outcome.content_type);
+    this->admitted.answer->respond(outcome.status, std::move(headers), outcome.body, delivered);
+}
+
+route_request plain_flow::describe() const
+{
+    route_request wanted;
+    wanted.request = this->admitted.id;
+    wanted.organisation = this->admitted.organisation->id;
+    wanted.service = this->admitted.service->id;
+    wanted.size = request_class::quick;
+    wanted.priority = this->admitted.organisation->priority;
+    wanted.idempotent = this->can_repeat;
+    wanted.deadline = this->accepted_at + this->admitted.service->request_deadline;
+    return wanted;
+}
+
+result<void> plain_flow::may_dispatch()
+{
+    if (this->can_repeat || this->services.claims.dispatch_allowed(this->admitted.id)) {
+        return boost::outcome_v2::success();
+    }
+    return make_error(errc::stale, "dispatch", this->admitted.service->id.value(),
+                      "the claim is too old to use");
+}
+
+/// Headers of the caller that mean something to the service.
+static bool is_forwarded(const std::string& name)
+{
+    for (const char* dropped : {"Host", "Connection", "Authorization", "Content-Length",
+                                "Transfer-Encoding", "Keep-Alive", "TE", "Trailer", "Upgrade",
+                                "Expect", "X-Attempt-Id", "X-Request-Id", "Idempotency-Key"}) {
+        if (boost::algorithm::iequals(name, dropped)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+endpoint_request plain_flow::next_attempt()
+{
+    this->status = 0;
+    this->content_type.clear();
+    this->answer_body.clear();
+    endpoint_request request;
+    request.method = this->admitted.http.method;
+    request.target = this->path;
+    for (const auto& header : this->admitted.http.headers) {
+        if (is_forwarded(header.first)) {
+            request.headers.push_back(header);
+        }
+    }
+    request.headers.emplace_back("X-Request-Id", this->admitted.id.value());
+    request.headers.emplace_back("X-Organisation", this->admitted.organisation->id.value());
+    if (!this->key.value().empty()) {
+        request.headers.emplace_back("Idempotency-Key", this->key.value());
+    }
+    request.body = this->admitted.http.body;
+    request.fresh_connection = !this->can_repeat;
+    this->may_have_run = true;
+    return request;
+}
+
+void plain_flow::head(int answered, const header_list& headers)
+{
+    this->status = answered;
+    for (const auto& [name, value] : headers) {
+        if (boost::algorithm::iequals(name, "Content-Type")) {
+            this->content_type = value;
+        }
+    }
+}
+
+void plain_flow::body(std::string_view bytes)
+{
+    this->answer_body += bytes;
+    this->note_progress(token_count{1});
+}
+
+void plain_flow::failed(const error& reason, dispatch_state dispatched)
+{
+    this->may_have_run = dispatched == dispatch_state::maybe_sent;
+    request_flow::failed(reason, dispatched);
+}
+
+result<void> plain_flow::answer_complete()
+{
+    const auto digest = sha256_hex(this->answer_body);
+    if (this->granted) {
+        recorded_outcome outcome{this->status, this->content_type, {}, digest};
+        if (this->answer_body.size() <= longest_kept_body) {
+            outcome.body = this->answer_body;
+        }
+        this->outcome_kept = true;
+        this->services.claims.finish(this->admitted.id, std::move(outcome),
+                                     [](const result<void>&) {});
+    }
+    auto self = std::static_pointer_cast<plain_flow>(this->shared_from_this());
+    if (this->status >= first_server_error) {
+        // The service failed: its answer is passed on and nothing is billed.
+        this->cancel_attempt(attempt_end::failed);
+        this->deliver([self](const result<void>&) { self->close("service_error"); });
+        return boost::outcome_v2::success();
+    }
+    this->bill_and_deliver(
+        this->make_line(token_count{0}, token_count{0}, digest),
+        [self](exchange::delivered_handler delivered) { self->deliver(std::move(delivered)); });
+    return boost::outcome_v2::success();
+}
+
+void plain_flow::deliver(exchange::delivered_handler delivered)
+{
+    header_list headers{{"Eelgrassbend-Request", this->admitted.id.value()},
+                        {"Eelgrassbend-Outcome", "ran"}};
+    if (!this->content_type.empty()) {
+        headers.emplace_back("Content-Type", this->content_type);
+    }
+    this->admitted.answer->respond(this->status, std::move(headers), this->answer_body,
+                                   std::move(delivered));
+}
+
+void plain_flow::closing()
+{
+    if (!std::exchange(this->granted, false) || this->outcome_kept) {
+        return;
+    }
+    if (this->may_have_run) {
+        this->services.claims.abandon(this->admitted.id);
+        return;
+    }
+    this->services.claims.release(this->admitted.id, [](const result<void>&) {});
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/serving/request_flow.cpp
@@ -0,0 +1,371 @@
+#include "eelgrassbend/serving/request_flow.h"
+
+#include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/metrics/metrics.h"
+#include "eelgrassbend/routing/limiter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace eelgrassbend {
+
+static double seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+static std::int64_t microseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+}
+
+money price_of(const tariff& prices, token_count prompt, token_count output)
+{
+    constexpr std::int64_t thousand = 1000;
+    const auto tokens = prices.per_thousand_prompt_tokens.value() * prompt.value() +
+                        prices.per_thousand_output_tokens.value() * output.value();
+    return prices.per_request + money{tokens / thousand};
+}
+
+request_flow::request_flow(const serving_services& services, admitted_request admitted,
+                           ended_handler on_ended)
+    : services(services),
+      admitted(std::move(admitted)),
+      accepted_at(services.time.now()),
+      accepted_wall(services.time.wall_now()),
+      on_ended(std::move(on_ended))
+{
+}
+
+request_flow::~request_flow() = default;
+
+void request_flow::arm_deadline()
+{
+    std::weak_ptr<request_flow> weak = this->weak_from_this();
+    const auto span = this->admitted.service->request_deadline;
+    this->deadline_timer = this->services.time.call_after(span, [weak] {
+        if (const auto self = weak.lock()) {
+            self->deadline_passed();
+        }
+    });
+}
+
+void request_flow::attempt_now()
+{
+    if (!this->open) {
+        return;
+    }
+    auto wanted = this->describe();
+    wanted.excluded = this->excluded;
+    auto chosen = this->services.routes.choose(wanted);
+    if (!chosen && !this->excluded.empty()) {
+        // Better an endpoint that failed once than none.
+        this->excluded.clear();
+        wanted.excluded.clear();
+        chosen = this->services.routes.choose(wanted);
+    }
+    if (!chosen) {
+        this->choose_failed(chosen.error());
+        return;
+    }
+    this->log_decision(chosen.value());
+    this->dispatch(chosen.value(), wanted);
+}
+
+// A request that never reached an endpoint is refused at once, so that its caller can go
+// elsewhere; one that has begun is carried on until its deadline.
+void request_flow::choose_failed(const error& reason)
+{
+    if (!this->dispatched_once) {
+        this->refuse_request(reason, request_outcome::not_run,
+                             this->services.settings.refusal_retry_after);
+        return;
+    }
+    auto self = this->shared_from_this();
+    this->retry_timer = this->services.time.call_after(this->services.settings.retry_pause,
+                                                       [self] { self->attempt_now(); });
+}
+
+void request_flow::log_decision(const route_decision& decision) const
+{
+    nlohmann::json candidates = nlohmann::json::array();
+    constexpr std::size_t most_logged = 8;
+    for (const auto& candidate : decision.candidates) {
+        if (candidates.size() == most_logged) {
+            break;
+        }
+        candidates.push_back({{"endpoint", candidate.endpoint.value()},
+                              {"predicted_us", microseconds(candidate.predicted)},
+                              {"cost_micros", candidate.cost.value()},
+                              {"cached_tokens", candidate.cached_tokens},
+                              {"note", candidate.note}});
+    }
+    this->services.log.write(log_level::info, "route",
+                             {{"request", this->admitted.id.value()},
+                              {"attempt", this->attempts + 1},
+                              {"organisation", this->admitted.organisation->id.value()},
+                              {"service", this->admitted.service->id.value()},
+                              {"endpoint", decision.endpoint.value()},
+                              {"policy", decision.policy},
+                              {"reason", decision.reason},
+                              {"bundle", decision.version.value()},
+                              {"candidates", std::move(candidates)},
+                              {"candidate_count", decision.candidates.size()}});
+}
+
+void request_flow::dispatch(const route_decision& decision, const route_request& wanted)
+{
+    const auto found = this->services.endpoints.find(decision.endpoint);
+    if (!found) {
+        this->choose_failed(make_error(errc::unavailable, "choose endpoint",
+                                       decision.endpoint.value(), "endpoint is gone"));
+        return;
+    }
+    if (auto allowed = this->may_dispatch(); !allowed) {
+        this->refuse_request(allowed.error(), request_outcome::not_run);
+        return;
+    }
+    this->target = *found;
+    ++this->attempts;
+    this->attempt = attempt_id{this->admitted.id.value() + "/" + std::to_string(this->attempts)};
+    this->dispatched_at = this->services.time.now();
+    this->first_progress = true;
+    this->services.routes.dispatched(this->attempt, this->target.id, wanted);
+    auto request = this->next_attempt();
+    request.attempt = this->attempt;
+    request.progress_timeout = this->services.settings.progress_timeout;
+    this->handle = this->services.client.dispatch(this->target.address, std::move(request), *this);
+    this->dispatched_once = true;
+    if (this->target.state == endpoint_state::leaving) {
+        this->schedule_move(this->target);
+    }
+}
+
+void request_flow::completed()
+{
+    auto self = this->shared_from_this();
+    if (auto whole = this->answer_complete(); !whole) {
+        this->attempt_failed(whole.error(), dispatch_state::maybe_sent);
+    }
+}
+
+void request_flow::failed(const error& reason, dispatch_state dispatched)
+{
+    auto self = this->shared_from_this();
+    this->attempt_failed(reason, dispatched);
+}
+
+void request_flow::cancel_attempt(attempt_end how)
+{
+    if (this->handle) {
+        this->handle.reset();
+        this->services.routes.ended(this->attempt, how);
+    }
+    if (this->move_timer) {
+        this->services.time.cancel(*this->move_timer);
+        this->move_timer.reset();
+    }
+}
+
+void request_flow::attempt_failed(const error& reason, dispatch_state dispatched)
+{
+    this->cancel_attempt(attempt_end::failed);
+    this->services.log.write(log_level::warning, "attempt_failed",
+                             {{"request", this->admitted.id.value()},
+                              {"attempt", this->attempt.value()},
+                              {"endpoint", this->target.id.value()},
+                              {"may_have_run", dispatched == dispatch_state::maybe_sent},
+                              {"error", reason.to_string()}});
+    this->services.counters.count("eelgrassbend_attempt_failures_total",
+                                  {{"service", this->admitted.service->id.value()}}, 1);
+    const bool may_repeat = dispatched == dispatch_state::not_sent || this->repeatable();
+    if (!may_repeat || this->attempts >= this->services.settings.most_attempts) {
+        const auto outcome = dispatched == dispatch_state::not_sent && !this->repeatable()
+                                 ? request_outcome::not_run
+                                 : request_outcome::unknown;
+        this->refuse_request(reason, outcome);
+        return;
+    }
+    this->excluded.push_back(this->target.id);
+    this->attempt_now();
+}
+
+void request_flow::endpoint_changed(const endpoint_info& changed)
+{
+    if (!this->handle || changed.id != this->target.id) {
+        return;
+    }
+    if (changed.state == endpoint_state::leaving) {
+        this->schedule_move(changed);
+    }
+}
+
+// Work on a leaving endpoint may finish there; what has not finished shortly before the host is
+// taken goes on elsewhere from what was emitted.
+void request_flow::schedule_move(const endpoint_info& leaving)
+{
+    if (!leaving.taken_at || !this->movable() || this->move_timer) {
+        return;
+    }
+    const auto left = *leaving.taken_at - this->services.time.wall_now();
+    const auto pause = std::max(left - this->services.settings.move_margin, duration::zero());
+    auto self = this->shared_from_this();
+    this->move_timer = this->services.time.call_after(pause, [self] {
+        self->move_timer.reset();
+        self->move_elsewhere();
+    });
+}
+
+void request_flow::move_elsewhere()
+{
+    if (!this->open || !this->handle) {
+        return;
+    }
+    this->services.log.write(log_level::info, "move",
+                             {{"request", this->admitted.id.value()},
+                              {"attempt", this->attempt.value()},
+                              {"endpoint", this->target.id.value()},
+                              {"reason", "endpoint is leaving"}});
+    this->cancel_attempt(attempt_end::cancelled);
+    this->excluded.push_back(this->target.id);
+    this->attempt_now();
+}
+
+void request_flow::deadline_passed()
+{
+    if (!this->open || this->delivering) {
+        return;
+    }
+    this->cancel_attempt(attempt_end::cancelled);
+    const auto outcome =
+        this->dispatched_once ? request_outcome::unknown : request_outcome::not_run;
+    this->refuse_request(make_error(errc::timed_out, "serve request",
+                                    this->admitted.service->id.value(),
+                                    "the service's deadline has passed"),
+                         outcome);
+}
+
+void request_flow::give_up(const refusal& refused)
+{
+    refuse(*this->admitted.answer, refused);
+}
+
+void request_flow::refuse_request(error reason, request_outcome outcome,
+                                  std::optional<duration> retry_after)
+{
+    if (!this->open) {
+        return;
+    }
+    auto self = this->shared_from_this();
+    this->cancel_attempt(attempt_end::cancelled);
+    refusal refused;
+    refused.status = outcome == request_outcome::unknown && reason.code != errc::timed_out
+                         ? 502
+                         : status_for(reason);
+    refused.outcome = outcome;
+    refused.reason = std::move(reason);
+    refused.retry_after = retry_after;
+    this->services.log.write(log_level::info, "refuse",
+                             {{"request", this->admitted.id.value()},
+                              {"status", refused.status},
+                              {"outcome", to_string(outcome)},
+                              {"error", refused.reason.to_string()}});
+    this->give_up(refused);
+    this->close(to_string(outcome));
+}
+
+void request_flow::note_progress(token_count total)
+{
+    this->services.routes.progressed(this->attempt, total);
+    if (std::exchange(this->first_progress, false) && this->attempts == 1) {
+        this->services.counters.observe("eelgrassbend_first_token_seconds",
+                                        {{"service", this->admitted.service->id.value()}},
+                                        seconds(this->services.time.now() - this->accepted_at));
+    }
+}
+
+ledger_line request_flow::make_line(token_count prompt, token_count output,
+                                    std::string digest) const
+{
+    ledger_line line;
+    line.request = this->admitted.id;
+    line.attempt = this->attempt;
+    line.organisation = this->admitted.organisation->id;
+    line.service = this->admitted.service->id;
+    line.endpoint = this->target.id;
+    line.version = this->admitted.rules->version;
+    line.prompt_tokens = prompt;
+    line.output_tokens = output;
+    line.price = price_of(this->admitted.service->prices, prompt, output);
+    line.answer_digest = std::move(digest);
+    line.accepted_at = this->accepted_wall;
+    return line;
+}
+
+void request_flow::bill_and_deliver(ledger_line line,
+                                    std::function<void(exchange::delivered_handler)> send)
+{
+    auto self = this->shared_from_this();
+    this->delivering = true;
+    this->handle.reset();
+    this->services.routes.ended(this->attempt, attempt_end::completed);
+    const auto price = line.price;
+    this->services.bills.intend(line, [self, price, send = std::move(send)](result<void> kept) {
+        if (!self->open) {
+            self->services.bills.cancel(self->admitted.id);
+            return;
+        }
+        if (!kept) {
+            self->services.log.write(
+                log_level::warning, "unbilled",
+                {{"request", self->admitted.id.value()}, {"error", kept.error().to_string()}});
+        }
+        const bool billable = kept.has_value();
+        send([self, billable, price](result<void> delivered) {
+            if (billable && delivered) {
+                self->billed = price;
+                self->services.bills.confirm(self->admitted.id);
+            }
+            else if (billable) {
+                self->services.bills.cancel(self->admitted.id);
+            }
+            self->close(delivered ? "ran" : "undelivered");
+        });
+    });
+}
+
+void request_flow::close(const char* outcome)
+{
+    if (!std::exchange(this->open, false)) {
+        return;
+    }
+    auto self = this->shared_from_this();
+    this->cancel_attempt(attempt_end::cancelled);
+    for (auto* timer : {&this->deadline_timer, &this->retry_timer}) {
+        if (*timer) {
+            this->services.time.cancel(**timer);
+            timer->reset();
+        }
+    }
+    this->closing();
+    this->services.limits.ended(this->admitted.id, this->billed);
+    const auto took = this->services.time.now() - this->accepted_at;
+    this->services.log.write(log_level::info, "request",
+                             {{"request", this->admitted.id.value()},
+                              {"organisation", this->admitted.organisation->id.value()},
+                              {"service", this->admitted.service->id.value()},
+                              {"result", outcome},
+                              {"attempts", this->attempts},
+                              {"took_us", microseconds(took)},
+                              {"price_micros", this->billed.value()}});
+    const metric_labels labels{{"service", this->admitted.service->id.value()},
+                               {"result", outcome}};
+    this->services.counters.count("eelgrassbend_requests_total", labels, 1);
+    this->services.counters.observe("eelgrassbend_request_seconds", labels, seconds(took));
+    this->on_ended(this->admitted.id);
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/serving/sse.cpp
@@ -0,0 +1,88 @@
+#include "eelgrassbend/serving/sse.h"
+
+namespace eelgrassbend {
+
+static std::string_view strip_carriage_return(std::string_view line)
+{
+    if (!line.empty() && line.back() == '\r') {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+/// The data lines of one event, joined by line feeds.
+static std::string event_data(std::string_view event)
+{
+    constexpr std::string_view field = "data:";
+    std::string data;
+    bool first = true;
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        auto line = strip_carriage_return(event.substr(0, end));
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (line.substr(0, field.size()) != field) {
+            continue;
+        }
+        line.remove_prefix(field.size());
+        if (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        if (!first) {
+            data += '\n';
+        }
+        data += line;
+        first = false;
+    }
+    return data;
+}
+
+/// Length of the first event with its blank line; npos if it is not whole.
+static std::size_t event_length(std::string_view text)
+{
+    const auto plain = text.find("\n\n");
+    const auto with_returns = text.find("\r\n\r\n");
+    if (with_returns != std::string_view::npos && with_returns < plain) {
+        return with_returns + 4;
+    }
+    return plain == std::string_view::npos ? plain : plain + 2;
+}
+
+result<std::vector<std::string>> sse_parser::feed(std::string_view bytes)
+{
+    this->pending += bytes;
+    std::vector<std::string> events;
+    std::size_t consumed = 0;
+    while (true) {
+        const auto rest = std::string_view{this->pending}.substr(consumed);
+        const auto length = event_length(rest);
+        if (length == std::string_view::npos) {
+            break;
+        }
+        auto data = event_data(rest.substr(0, length));
+        if (!data.empty()) {
+            events.push_back(std::move(data));
+        }
+        consumed += length;
+    }
+    this->pending.erase(0, consumed);
+    if (this->pending.size() > longest_event_bytes) {
+        return make_error(errc::invalid_argument, "read event stream", {}, "event is too long");
+    }
+    return events;
+}
+
+std::string format_sse(std::string_view id, std::string_view data)
+{
+    std::string text;
+    if (!id.empty()) {
+        text += "id: ";
+        text += id;
+        text += '\n';
+    }
+    text += "data: ";
+    text += data;
+    text += "\n\n";
+    return text;
+}
+
+} // namespace eelgrassbend
