--- /dev/null
+++ b/lib/settings/entry_settings.cpp
@@ -0,0 +1,161 @@
+#include "eelgrassbend/settings/entry_settings.h"
+
+#include "eelgrassbend/settings/toml_reader.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+static constexpr std::size_t shortest_secret_bytes = 16;
+static constexpr std::size_t public_key_digits = 64;
+
+static network_address read_address(toml_reader& table, const std::string& key)
+{
+    constexpr long highest_port = 65'535;
+    const auto text = table.text(key);
+    const auto colon = text.rfind(':');
+    const char* allowed = "must be an IP number and a port, such as 127.0.0.1:8080";
+    if (colon == std::string::npos) {
+        table.reject(key, allowed);
+        return {};
+    }
+    const auto ip = text.substr(0, colon);
+    const auto port = text.substr(colon + 1);
+    boost::system::error_code failure;
+    boost::asio::ip::make_address(ip, failure);
+    const bool digits = !port.empty() && port.size() <= 5 &&
+                        port.find_first_not_of("0123456789") == std::string::npos;
+    if (failure || !digits || std::stol(port) > highest_port) {
+        table.reject(key, allowed);
+        return {};
+    }
+    return {ip, static_cast<std::uint16_t>(std::stol(port))};
+}
+
+static std::string read_name(toml_reader& table, const std::string& key)
+{
+    auto name = table.text(key);
+    constexpr std::size_t longest = 64;
+    const auto allowed = "abcdefghijklmnopqrstuvwxyz0123456789-";
+    if (name.empty() || name.size() > longest ||
+        name.find_first_not_of(allowed) != std::string::npos) {
+        table.reject(key, "must be 1 to 64 lower-case letters, digits and hyphens");
+    }
+    return name;
+}
+
+static std::vector<operator_key> read_operators(toml_reader& trust)
+{
+    std::vector<operator_key> operators;
+    for (auto& entry : trust.tables("operator_keys")) {
+        operator_key key{entry.text("name"), entry.text("public_key")};
+        if (key.public_key.size() != public_key_digits ||
+            key.public_key.find_first_not_of("0123456789abcdef") != std::string::npos) {
+            entry.reject("public_key", "must be 64 lower-case hexadecimal digits");
+        }
+        entry.expect_no_more();
+        operators.push_back(std::move(key));
+    }
+    if (operators.empty()) {
+        trust.reject("operator_keys", "must list at least one operator");
+    }
+    trust.expect_no_more();
+    return operators;
+}
+
+static std::vector<peer_key> read_peer_keys(toml_reader& peers)
+{
+    constexpr std::int64_t highest_id = 65'535;
+    std::vector<peer_key> keys;
+    for (auto& entry : peers.tables("keys")) {
+        peer_key key{static_cast<std::uint32_t>(entry.integer("id", 0, highest_id)),
+                     entry.text("secret")};
+        if (key.secret.size() < shortest_secret_bytes) {
+            entry.reject("secret", "must have at least 16 bytes");
+        }
+        entry.expect_no_more();
+        keys.push_back(std::move(key));
+    }
+    if (keys.empty()) {
+        peers.reject("keys", "must list at least one key");
+    }
+    peers.expect_no_more();
+    return keys;
+}
+
+static void read_listen(toml_reader& root, entry_settings& settings)
+{
+    auto listen = root.table("listen");
+    settings.callers = read_address(listen, "callers");
+    settings.calls = read_address(listen, "calls");
+    settings.datagrams = read_address(listen, "datagrams");
+    listen.expect_no_more();
+    auto platform = root.table("platform");
+    settings.platform = read_address(platform, "address");
+    platform.expect_no_more();
+}
+
+static void read_serving(toml_reader& root, entry_settings& settings)
+{
+    constexpr std::int64_t most_connections = 100'000;
+    auto serving = root.table("serving", false);
+    settings.entries_time_to_live = serving.milliseconds(
+        "entries_time_to_live_ms", milliseconds{100}, minutes{5}, settings.entries_time_to_live);
+    settings.endpoint_poll_interval = serving.milliseconds(
+        "endpoint_poll_interval_ms", milliseconds{20}, minutes{1}, settings.endpoint_poll_interval);
+    settings.progress_timeout = serving.milliseconds("progress_timeout_ms", milliseconds{50},
+                                                     minutes{10}, settings.progress_timeout);
+    settings.bundle_staleness = serving.milliseconds("bundle_staleness_ms", milliseconds{500},
+                                                     minutes{10}, settings.bundle_staleness);
+    settings.stop_limit =
+        serving.milliseconds("stop_limit_ms", seconds{1}, minutes{60}, settings.stop_limit);
+    settings.connections = static_cast<std::size_t>(serving.integer(
+        "connections", 1, most_connections, static_cast<std::int64_t>(settings.connections)));
+    serving.expect_no_more();
+}
+
+result<entry_settings> parse_entry_settings(const std::string& text, const std::string& file)
+{
+    auto parsed = toml_reader::parse(text, file);
+    if (!parsed) {
+        return parsed.error();
+    }
+    auto& root = parsed.value();
+    entry_settings settings;
+    settings.node = node_id{read_name(root, "name")};
+    settings.region = region_name{read_name(root, "region")};
+    settings.zone = availability_zone{read_name(root, "zone")};
+    settings.log_level =
+        root.one_of("log_level", {"debug", "info", "warning", "error"}, settings.log_level);
+    read_listen(root, settings);
+    auto trust = root.table("trust");
+    settings.trusted_operators = read_operators(trust);
+    auto peers = root.table("peers");
+    settings.peer_keys = read_peer_keys(peers);
+    read_serving(root, settings);
+    root.expect_no_more();
+    if (auto status = root.status(); !status) {
+        return status.error();
+    }
+    return settings;
+}
+
+result<entry_settings> read_entry_settings(const std::string& file)
+{
+    std::ifstream stream{file, std::ios::binary};
+    if (!stream) {
+        return make_error(errc::not_found, "read settings", file, "the file cannot be opened");
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parse_entry_settings(text.str(), file);
+}
+
+} // namespace eelgrassbend
