Add the routing policies behind one interface

Requests need an endpoint, chosen by the policy that the bundle names for the service. The router keeps a table for each service with own outstanding work, lagged reports corrected by it, learnt prompt and token times, a bounded prefix index and a watch on missing progress. random, round_robin, least_outstanding and two_choices are the baselines; predictive takes the cheapest endpoint that is predicted to meet the target, one of the near-equals at random, from a bounded number of candidates. The router interface gets `used`, to learn from reported cached tokens, and `retry_after`; both have a default.

Tests seen to fail first: excluded_endpoints_are_never_chosen without the check in `eligible`, leaving_endpoints_are_never_chosen with every endpoint usable.

--- /dev/null
+++ b/include/eelgrassbend/routing/load_estimate.h
@@ -0,0 +1,62 @@
+#ifndef EELGRASSBEND_ROUTING_LOAD_ESTIMATE_H
+#define EELGRASSBEND_ROUTING_LOAD_ESTIMATE_H
+
+#include "eelgrassbend/endpoints/load_report.h"
+#include "eelgrassbend/routing/router.h"
+#include "eelgrassbend/support/units.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace eelgrassbend {
+
+/// The load of one endpoint: what this node sent, and what others sent as far as lagged reports
+/// tell.
+class load_estimate {
+public:
+    /// `uncached` prompt tokens wait to be processed.
+    void dispatched(monotonic_time now, request_class size, std::int64_t uncached);
+    /// The prompt of an attempt has been processed.
+    void prompt_done(std::int64_t uncached);
+    void finished(monotonic_time now, request_class size);
+    /// `age` is the time since the report was measured.
+    void reported(monotonic_time now, duration age, const load_report& report);
+
+    /// Attempts of this node under way.
+    [[nodiscard]] std::uint32_t own() const { return this->own_count; }
+
+    [[nodiscard]] std::uint32_t own_long() const { return this->own_long_count; }
+
+    /// Attempts of other nodes, running or queued.
+    [[nodiscard]] double others() const;
+
+    /// Attempts of all nodes, running or queued.
+    [[nodiscard]] double total() const { return this->own_count + this->others(); }
+
+    [[nodiscard]] std::int64_t pending_prompt_tokens() const;
+    [[nodiscard]] std::uint32_t slots() const;
+
+private:
+    struct sample {
+        monotonic_time time;
+        std::uint32_t own = 0;
+        std::uint64_t sent = 0;
+        std::int64_t pending = 0;
+    };
+
+    void remember(monotonic_time now);
+    [[nodiscard]] sample at(monotonic_time time) const;
+
+    std::uint32_t own_count = 0;
+    std::uint32_t own_long_count = 0;
+    std::uint64_t sent_count = 0;
+    std::int64_t own_pending = 0;
+    std::uint32_t slot_count = 0;
+    double others_at_report = 0.0;
+    std::int64_t others_pending = 0;
+    std::deque<sample> history;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/routing/prefix_index.h
@@ -0,0 +1,97 @@
+#ifndef EELGRASSBEND_ROUTING_PREFIX_INDEX_H
+#define EELGRASSBEND_ROUTING_PREFIX_INDEX_H
+
+#include "eelgrassbend/endpoints/load_report.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// Position of an endpoint in the table of its service.
+using endpoint_index = std::uint32_t;
+
+/// Which endpoint probably holds which blocks of prompts. Bounded; the blocks that were used
+/// longest ago are forgotten first.
+class prefix_index {
+public:
+    explicit prefix_index(std::size_t capacity = 100'000) : capacity(capacity) {}
+
+    /// Applies an event of the endpoint's cache; events may be late and have gaps.
+    void apply(endpoint_index endpoint, const cache_event& event);
+    /// The endpoint holds, or will soon hold, the first `blocks` blocks of `prefix`.
+    void expect(endpoint_index endpoint, const std::vector<std::uint64_t>& prefix,
+                std::size_t blocks);
+    /// The endpoint was expected to hold all of `expected` and held its first `held` blocks.
+    void learn(endpoint_index endpoint, const std::vector<std::uint64_t>& expected,
+               std::size_t held);
+    void forget(endpoint_index endpoint);
+
+    /// Whole blocks of `prefix` that the endpoint probably holds, from the start on.
+    [[nodiscard]] std::size_t held_blocks(endpoint_index endpoint,
+                                          const std::vector<std::uint64_t>& prefix) const;
+    /// How far the index can be relied on for this endpoint, from 0 to 1.
+    [[nodiscard]] double confidence(endpoint_index endpoint) const;
+    /// Up to `limit` endpoints that hold the most of `prefix`, those with most first.
+    [[nodiscard]] std::vector<endpoint_index> holders(const std::vector<std::uint64_t>& prefix,
+                                                      std::size_t limit) const;
+
+    /// Pairs of block and endpoint that are kept.
+    [[nodiscard]] std::size_t size() const { return this->held.size(); }
+
+private:
+    static constexpr std::size_t holders_kept = 6;
+
+    struct block_key {
+        std::uint64_t block = 0;
+        endpoint_index endpoint = 0;
+
+        friend bool operator==(const block_key&, const block_key&) = default;
+    };
+
+    struct block_key_hash {
+        std::size_t operator()(const block_key& key) const
+        {
+            // Blocks are hashes already; an odd factor spreads the endpoints.
+            constexpr std::uint64_t odd_factor = 0x9e3779b97f4a7c15;
+            return key.block ^ (key.endpoint * odd_factor);
+        }
+    };
+
+    struct recent_holders {
+        std::vector<endpoint_index> endpoints; ///< the most recent last
+    };
+
+    struct stream_state {
+        std::uint64_t next_sequence = 0;
+        bool started = false;
+        std::uint32_t generation = 0; ///< older entries are void
+        double trust = 1.0;
+    };
+
+    struct entry {
+        std::uint32_t generation = 0;
+        std::uint32_t stamp = 0;
+    };
+
+    void add(endpoint_index endpoint, std::uint64_t block);
+    void remove(endpoint_index endpoint, std::uint64_t block);
+    void evict_to_capacity();
+    [[nodiscard]] bool holds(endpoint_index endpoint, std::uint64_t block) const;
+    [[nodiscard]] const std::vector<endpoint_index>* holders_of(std::uint64_t block) const;
+
+    std::size_t capacity;
+    std::uint32_t next_stamp = 0;
+    absl::flat_hash_map<block_key, entry, block_key_hash> held;
+    absl::flat_hash_map<std::uint64_t, recent_holders> by_block;
+    std::unordered_map<endpoint_index, stream_state> streams;
+    std::deque<std::pair<block_key, std::uint32_t>> order; ///< by stamp; may hold outdated ones
+};
+
+} // namespace eelgrassbend
+
+#endif
--- a/include/eelgrassbend/routing/router.h
+++ b/include/eelgrassbend/routing/router.h
@@ -62,10 +62,22 @@
                             const route_request& request) = 0;
     /// `total` output tokens have arrived so far.
     virtual void progressed(const attempt_id& attempt, token_count total) = 0;
+
+    /// What the endpoint said the attempt used; before `ended`, if it said so.
+    virtual void used(const attempt_id& /*attempt*/, token_count /*prompt*/, token_count /*cached*/)
+    {
+    }
+
     virtual void ended(const attempt_id& attempt, attempt_end how) = 0;
 
     virtual void report_load(const endpoint_id& endpoint, const load_report& report) = 0;
     virtual void report_cache(const endpoint_id& endpoint, const cache_event& event) = 0;
+
+    /// When a refused request of the service is worth another try.
+    [[nodiscard]] virtual duration retry_after(const service_id& /*service*/) const
+    {
+        return std::chrono::seconds{1};
+    }
 };
 
 /// Tokens in one block of the prefix cache.
--- /dev/null
+++ b/include/eelgrassbend/routing/service_router.h
@@ -0,0 +1,75 @@
+#ifndef EELGRASSBEND_ROUTING_SERVICE_ROUTER_H
+#define EELGRASSBEND_ROUTING_SERVICE_ROUTER_H
+
+#include "eelgrassbend/bundle/bundle.h"
+#include "eelgrassbend/endpoints/endpoint_directory.h"
+#include "eelgrassbend/routing/router.h"
+#include "eelgrassbend/routing/routing_policy.h"
+#include "eelgrassbend/routing/service_table.h"
+#include "eelgrassbend/support/random_source.h"
+#include "eelgrassbend/support/scheduler.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace eelgrassbend {
+
+/// Chooses endpoints by the policy that the bundle names for each service.
+class service_router : public router {
+public:
+    service_router(const clock_source& clock, random_source& random, endpoint_directory& endpoints,
+                   const bundle_view& bundles);
+
+    result<route_decision> choose(const route_request& request) override;
+    void dispatched(const attempt_id& attempt, const endpoint_id& endpoint,
+                    const route_request& request) override;
+    void progressed(const attempt_id& attempt, token_count total) override;
+    void used(const attempt_id& attempt, token_count prompt, token_count cached) override;
+    void ended(const attempt_id& attempt, attempt_end how) override;
+    void report_load(const endpoint_id& endpoint, const load_report& report) override;
+    void report_cache(const endpoint_id& endpoint, const cache_event& event) override;
+    [[nodiscard]] duration retry_after(const service_id& service) const override;
+
+private:
+    struct service_state {
+        explicit service_state(const service_id& service) : table(service) {}
+
+        service_table table;
+        std::unique_ptr<routing_policy> policy;
+    };
+
+    struct outstanding_attempt {
+        service_state* service = nullptr;
+        endpoint_index endpoint = 0;
+        request_class size = request_class::normal;
+        std::vector<std::uint64_t> expected_blocks; ///< thought to be cached when it was sent
+        std::int64_t uncached = 0;
+        std::int64_t prompt_work = 0; ///< own uncached prompt tokens and those queued before
+        bool slot_was_free = false;
+        monotonic_time sent;
+        monotonic_time last_progress;
+        monotonic_time due; ///< when the next token is expected
+        std::int64_t tokens = 0;
+    };
+
+    service_state* find_service(const service_id& service);
+    void refresh_bundle();
+    void configure(service_state& state);
+    void endpoint_changed(const endpoint_info& info);
+    [[nodiscard]] service_state* service_of(const endpoint_id& endpoint);
+    void learn_first_token(outstanding_attempt& attempt, monotonic_time now);
+    void learn_next_token(outstanding_attempt& attempt, monotonic_time now, std::int64_t total);
+
+    const clock_source& clock;
+    random_source& random;
+    endpoint_directory& endpoints;
+    const bundle_view& bundles;
+    std::shared_ptr<const bundle> in_force;
+    std::unordered_map<service_id, std::unique_ptr<service_state>> services;
+    std::unordered_map<endpoint_id, service_id> service_by_endpoint;
+    std::unordered_map<attempt_id, outstanding_attempt> attempts;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/routing/service_table.h
@@ -0,0 +1,111 @@
+#ifndef EELGRASSBEND_ROUTING_SERVICE_TABLE_H
+#define EELGRASSBEND_ROUTING_SERVICE_TABLE_H
+
+#include "eelgrassbend/bundle/bundle.h"
+#include "eelgrassbend/endpoints/endpoint_directory.h"
+#include "eelgrassbend/routing/candidate_index.h"
+#include "eelgrassbend/routing/load_estimate.h"
+#include "eelgrassbend/routing/pace_model.h"
+#include "eelgrassbend/routing/prefix_index.h"
+#include "eelgrassbend/routing/progress_watch.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// What this node knows of one endpoint.
+struct endpoint_record {
+    endpoint_info info;
+    money price_per_hour;
+    load_estimate load;
+    pace_model pace;
+    progress_watch progress;
+    bool usable = false;       ///< takes new work
+    bool suspected = false;    ///< slow or without progress, as this node saw itself
+    monotonic_time last_probe; ///< when work was last sent there although it was suspected
+};
+
+/// The endpoints of one service.
+class service_table {
+public:
+    explicit service_table(service_id service) : service(std::move(service)) {}
+
+    [[nodiscard]] const service_id& id() const { return this->service; }
+
+    /// Takes the service's settings and prices from a bundle.
+    void configure(const bundle& declared);
+    /// Adds, changes or removes an endpoint.
+    void update(const endpoint_info& info);
+
+    [[nodiscard]] const service_spec& spec() const { return this->settings; }
+
+    [[nodiscard]] endpoint_record& at(endpoint_index index) { return this->records[index]; }
+
+    [[nodiscard]] const endpoint_record& at(endpoint_index index) const
+    {
+        return this->records[index];
+    }
+
+    [[nodiscard]] std::optional<endpoint_index> find(const endpoint_id& id) const;
+
+    /// Endpoints that take new work, in no order.
+    [[nodiscard]] const std::vector<endpoint_index>& live() const { return this->live_list; }
+
+    [[nodiscard]] bool empty() const { return this->by_id.empty(); }
+
+    [[nodiscard]] const candidate_index& candidates() const { return this->by_load; }
+
+    [[nodiscard]] prefix_index& prefixes() { return this->prefix_blocks; }
+
+    [[nodiscard]] const prefix_index& prefixes() const { return this->prefix_blocks; }
+
+    /// Learnt speed of a machine class.
+    [[nodiscard]] pace_model& class_pace(const machine_class& type) { return this->paces[type]; }
+
+    /// Time between tokens expected of an endpoint in order, from its machine class.
+    [[nodiscard]] duration expected_token_time(const endpoint_record& record) const;
+    /// Time for each uncached prompt token.
+    [[nodiscard]] duration expected_prompt_time(const endpoint_record& record) const;
+
+    /// Decides anew whether the endpoint is suspected; true if it is.
+    bool review(endpoint_index index, monotonic_time now);
+
+    [[nodiscard]] const std::vector<endpoint_index>& suspects() const { return this->suspect_list; }
+
+    /// An attempt held a slot for this long.
+    void learn_hold_time(duration held);
+
+    [[nodiscard]] duration hold_time() const { return this->mean_hold; }
+
+    /// Estimated time until a slot of the service is free.
+    [[nodiscard]] duration slot_release_time() const;
+
+    /// To be called after the load of an endpoint has changed.
+    void load_changed(endpoint_index index);
+
+private:
+    [[nodiscard]] money price_of(const endpoint_info& info) const;
+    void set_usable(endpoint_index index, bool usable);
+    [[nodiscard]] endpoint_index allocate();
+
+    service_id service;
+    service_spec settings;
+    std::vector<host_price> prices;
+    std::vector<endpoint_record> records;
+    std::vector<endpoint_index> unused;
+    std::unordered_map<endpoint_id, endpoint_index> by_id;
+    std::vector<endpoint_index> live_list;
+    std::vector<std::size_t> live_position;
+    candidate_index by_load;
+    prefix_index prefix_blocks;
+    std::map<machine_class, pace_model> paces;
+    std::vector<endpoint_index> suspect_list;
+    duration mean_hold = std::chrono::seconds{4};
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/routing/prediction.cpp
@@ -0,0 +1,60 @@
+#include "eelgrassbend/routing/prediction.h"
+
+#include <algorithm>
+
+namespace eelgrassbend {
+
+namespace {
+
+/// Network and the step that an engine is in when a request arrives.
+constexpr duration first_token_base = std::chrono::milliseconds{40};
+
+} // namespace
+
+static std::int64_t cached_tokens(const service_table& table, endpoint_index index,
+                                  const route_request& request)
+{
+    const auto blocks = table.prefixes().held_blocks(index, request.prefix);
+    const auto tokens = static_cast<double>(blocks) * prefix_block_tokens;
+    const auto sure = static_cast<std::int64_t>(tokens * table.prefixes().confidence(index));
+    return std::min(sure, request.prompt_tokens.value());
+}
+
+static duration slot_wait(const service_table& table, const endpoint_record& record)
+{
+    const double excess = record.load.total() + 1.0 - record.load.slots();
+    if (excess <= 0.0) {
+        return duration::zero();
+    }
+    const auto release = static_cast<double>(table.hold_time().count()) / record.load.slots();
+    return duration{static_cast<duration::rep>(release * excess)};
+}
+
+static money occupancy_cost(const endpoint_record& record, duration held)
+{
+    const auto price = static_cast<double>(record.price_per_hour.value());
+    const double hours = std::chrono::duration<double, std::ratio<3600>>{held}.count();
+    return money{static_cast<std::int64_t>(price * hours / record.load.slots())};
+}
+
+prediction predict(const service_table& table, endpoint_index index, const route_request& request)
+{
+    const auto& record = table.at(index);
+    prediction expected;
+    expected.cached_tokens = cached_tokens(table, index, request);
+    const auto uncached = request.prompt_tokens.value() - expected.cached_tokens;
+    expected.prompt_work = uncached + record.load.pending_prompt_tokens();
+    expected.slot_wait = slot_wait(table, record);
+
+    const auto prompt_time = table.expected_prompt_time(record) * expected.prompt_work;
+    expected.first_token =
+        first_token_base + expected.slot_wait + prompt_time + record.pace.lateness();
+    expected.token_time =
+        std::max(record.pace.recent_token_time(), table.expected_token_time(record));
+    const auto output = std::max<std::int64_t>(1, request.expected_output.value());
+    expected.completion = expected.first_token + expected.token_time * output;
+    expected.cost = occupancy_cost(record, expected.completion - expected.slot_wait);
+    return expected;
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/routing/predictive_policy.h
@@ -0,0 +1,53 @@
+#ifndef EELGRASSBEND_LIB_ROUTING_PREDICTIVE_POLICY_H
+#define EELGRASSBEND_LIB_ROUTING_PREDICTIVE_POLICY_H
+
+#include "eelgrassbend/routing/prediction.h"
+#include "eelgrassbend/routing/routing_policy.h"
+#include "starvation_guard.h"
+
+#include <vector>
+
+namespace eelgrassbend {
+
+/// The cheapest endpoint that is predicted to meet the service's latency target, else the fastest.
+class predictive_policy : public routing_policy {
+public:
+    predictive_policy(const clock_source& clock, random_source& random)
+        : clock(clock), random(random)
+    {
+    }
+
+    [[nodiscard]] std::string_view name() const override { return "predictive"; }
+
+    result<route_decision> choose(service_table& table, const route_request& request) override;
+
+private:
+    struct candidate {
+        endpoint_index index = 0;
+        prediction expected;
+        std::string note; ///< why it is out; empty if it is not
+        bool meets_target = false;
+    };
+
+    using candidate_list = std::vector<candidate>;
+
+    [[nodiscard]] std::vector<endpoint_index> collect(const service_table& table,
+                                                      const route_request& request);
+    candidate_list evaluate(service_table& table, const route_request& request);
+    /// Null if no candidate is left.
+    const candidate* select(const candidate_list& candidates, const route_request& request,
+                            std::string& reason);
+    /// A suspected endpoint whose turn it is to be tried; null if there is none.
+    const candidate* probe(service_table& table, const route_request& request,
+                           candidate_list& candidates);
+    static route_decision describe(const service_table& table, const candidate_list& candidates,
+                                   const candidate& chosen, std::string reason);
+
+    const clock_source& clock;
+    random_source& random;
+    starvation_guard guard;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/routing/service_router.cpp
@@ -0,0 +1,258 @@
+#include "eelgrassbend/routing/service_router.h"
+
+#include "eelgrassbend/routing/prediction.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassbend {
+
+namespace {
+
+/// A report that claims to be older, or to come from the future, is taken as this old or new.
+constexpr duration oldest_report = std::chrono::seconds{10};
+/// A wait for a slot is little known, so it may take this many times longer before it is overdue.
+constexpr int slot_wait_slack = 2;
+
+} // namespace
+
+service_router::service_router(const clock_source& clock, random_source& random,
+                               endpoint_directory& endpoints, const bundle_view& bundles)
+    : clock(clock), random(random), endpoints(endpoints), bundles(bundles)
+{
+    endpoints.on_change([this](const endpoint_info& info) { this->endpoint_changed(info); });
+}
+
+result<route_decision> service_router::choose(const route_request& request)
+{
+    this->refresh_bundle();
+    auto* state = this->find_service(request.service);
+    if (state == nullptr || state->table.empty()) {
+        return make_error(errc::not_found, "choose endpoint", request.service.value(),
+                          "the service has no endpoint");
+    }
+    auto decision = state->policy->choose(state->table, request);
+    if (decision) {
+        decision.value().version = this->in_force->version;
+    }
+    return decision;
+}
+
+void service_router::dispatched(const attempt_id& attempt, const endpoint_id& endpoint,
+                                const route_request& request)
+{
+    auto* state = this->service_of(endpoint);
+    const auto index = state == nullptr ? std::nullopt : state->table.find(endpoint);
+    if (!index) {
+        return;
+    }
+    const auto now = this->clock.now();
+    auto& record = state->table.at(*index);
+    const auto held = state->table.prefixes().held_blocks(*index, request.prefix);
+    const auto expected = predict(state->table, *index, request);
+
+    outstanding_attempt started;
+    started.service = state;
+    started.endpoint = *index;
+    started.size = request.size;
+    started.expected_blocks.assign(request.prefix.begin(),
+                                   request.prefix.begin() + static_cast<std::ptrdiff_t>(held));
+    started.uncached = request.prompt_tokens.value() - expected.cached_tokens;
+    started.prompt_work = expected.prompt_work;
+    started.slot_was_free = expected.slot_wait == duration::zero();
+    started.sent = now;
+    started.last_progress = now;
+    started.due = now + expected.first_token + expected.slot_wait * slot_wait_slack;
+    record.progress.expect(started.due);
+    record.load.dispatched(now, request.size, started.uncached);
+    state->table.load_changed(*index);
+    state->table.prefixes().expect(*index, request.prefix, request.prefix.size());
+    this->attempts.insert_or_assign(attempt, std::move(started));
+}
+
+void service_router::progressed(const attempt_id& attempt, token_count total)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end() || total.value() <= found->second.tokens) {
+        return;
+    }
+    auto& known = found->second;
+    const auto now = this->clock.now();
+    auto& table = known.service->table;
+    auto& record = table.at(known.endpoint);
+    record.progress.settle(known.due);
+    if (known.tokens == 0) {
+        this->learn_first_token(known, now);
+    }
+    else {
+        this->learn_next_token(known, now, total.value());
+    }
+    known.tokens = total.value();
+    known.last_progress = now;
+    known.due = now + table.expected_token_time(record);
+    record.progress.expect(known.due);
+    table.review(known.endpoint, now);
+}
+
+void service_router::used(const attempt_id& attempt, token_count /*prompt*/, token_count cached)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    const auto blocks = static_cast<std::size_t>(cached.value() / prefix_block_tokens);
+    auto& known = found->second;
+    known.service->table.prefixes().learn(known.endpoint, known.expected_blocks, blocks);
+}
+
+void service_router::ended(const attempt_id& attempt, attempt_end how)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    const auto now = this->clock.now();
+    auto& known = found->second;
+    auto& table = known.service->table;
+    auto& record = table.at(known.endpoint);
+    record.progress.settle(known.due);
+    if (known.tokens == 0) {
+        record.load.prompt_done(known.uncached);
+    }
+    record.load.finished(now, known.size);
+    if (how == attempt_end::completed) {
+        table.learn_hold_time(now - known.sent);
+    }
+    table.load_changed(known.endpoint);
+    if (record.info.state == endpoint_state::gone) {
+        table.update(endpoint_info{record.info});
+    }
+    this->attempts.erase(found);
+}
+
+void service_router::report_load(const endpoint_id& endpoint, const load_report& report)
+{
+    auto* state = this->service_of(endpoint);
+    const auto index = state == nullptr ? std::nullopt : state->table.find(endpoint);
+    if (!index) {
+        return;
+    }
+    const duration age = std::clamp(duration{this->clock.wall_now() - report.measured_at},
+                                    duration::zero(), oldest_report);
+    state->table.at(*index).load.reported(this->clock.now(), age, report);
+    state->table.load_changed(*index);
+}
+
+void service_router::report_cache(const endpoint_id& endpoint, const cache_event& event)
+{
+    auto* state = this->service_of(endpoint);
+    const auto index = state == nullptr ? std::nullopt : state->table.find(endpoint);
+    if (index) {
+        state->table.prefixes().apply(*index, event);
+    }
+}
+
+duration service_router::retry_after(const service_id& service) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return router::retry_after(service);
+    }
+    return found->second->table.slot_release_time();
+}
+
+service_router::service_state* service_router::find_service(const service_id& service)
+{
+    const auto found = this->services.find(service);
+    if (found != this->services.end()) {
+        return found->second.get();
+    }
+    // Names of services come from callers; only declared or existing ones get a table.
+    const auto known = this->endpoints.endpoints(service);
+    if (known.empty()) {
+        return nullptr;
+    }
+    auto& state = this->services[service];
+    state = std::make_unique<service_state>(service);
+    this->configure(*state);
+    for (const auto& info : known) {
+        state->table.update(info);
+        this->service_by_endpoint.insert_or_assign(info.id, service);
+    }
+    return state.get();
+}
+
+void service_router::refresh_bundle()
+{
+    auto current = this->bundles.current();
+    if (current == this->in_force) {
+        return;
+    }
+    this->in_force = std::move(current);
+    for (auto& [service, state] : this->services) {
+        this->configure(*state);
+    }
+}
+
+void service_router::configure(service_state& state)
+{
+    state.table.configure(*this->in_force);
+    const auto& wanted = state.table.spec().routing_policy;
+    if (state.policy == nullptr || state.policy->name() != wanted) {
+        state.policy = make_policy(wanted, this->clock, this->random);
+    }
+}
+
+void service_router::endpoint_changed(const endpoint_info& info)
+{
+    const auto found = this->services.find(info.service);
+    if (found == this->services.end()) {
+        return;
+    }
+    found->second->table.update(info);
+    if (info.state == endpoint_state::gone) {
+        this->service_by_endpoint.erase(info.id);
+        return;
+    }
+    this->service_by_endpoint.insert_or_assign(info.id, info.service);
+}
+
+service_router::service_state* service_router::service_of(const endpoint_id& endpoint)
+{
+    const auto service = this->service_by_endpoint.find(endpoint);
+    if (service == this->service_by_endpoint.end()) {
+        return nullptr;
+    }
+    const auto found = this->services.find(service->second);
+    return found == this->services.end() ? nullptr : found->second.get();
+}
+
+void service_router::learn_first_token(outstanding_attempt& attempt, monotonic_time now)
+{
+    auto& table = attempt.service->table;
+    auto& record = table.at(attempt.endpoint);
+    record.load.prompt_done(attempt.uncached);
+    record.pace.first_token_late(now - attempt.due);
+    // Behind a full endpoint the wait says nothing about the speed of the prompt work.
+    if (!attempt.slot_was_free) {
+        return;
+    }
+    record.pace.prompt_took(now - attempt.sent, attempt.prompt_work);
+    if (!record.suspected) {
+        table.class_pace(record.info.type).prompt_took(now - attempt.sent, attempt.prompt_work);
+    }
+}
+
+void service_router::learn_next_token(outstanding_attempt& attempt, monotonic_time now,
+                                      std::int64_t total)
+{
+    auto& table = attempt.service->table;
+    auto& record = table.at(attempt.endpoint);
+    const duration gap = (now - attempt.last_progress) / (total - attempt.tokens);
+    record.pace.token_came(gap);
+    if (!record.suspected) {
+        table.class_pace(record.info.type).token_came(gap);
+    }
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/routing/starvation_guard.h
@@ -0,0 +1,27 @@
+#ifndef EELGRASSBEND_LIB_ROUTING_STARVATION_GUARD_H
+#define EELGRASSBEND_LIB_ROUTING_STARVATION_GUARD_H
+
+#include "eelgrassbend/routing/router.h"
+#include "eelgrassbend/support/units.h"
+
+#include <optional>
+
+namespace eelgrassbend {
+
+/// Notices that long requests are refused again and again while others are admitted.
+class starvation_guard {
+public:
+    void refused(monotonic_time now, request_class size);
+    void admitted(monotonic_time now, request_class size);
+
+    /// Whether long requests go first until one is admitted.
+    [[nodiscard]] bool long_starves(monotonic_time now) const;
+
+private:
+    std::optional<monotonic_time> refused_since;
+    monotonic_time last_refusal;
+};
+
+} // namespace eelgrassbend
+
+#endif
