Prove the request flows with fakes around them

Cause: the flows had run in no test. One was wrong at once: an order that was never sent ended at its deadline as unknown, though it had surely not run.

--- a/include/eelgrassbend/serving/plain_flow.h
+++ b/include/eelgrassbend/serving/plain_flow.h
@@ -18,7 +18,6 @@
     void begin() override;
     void head(int status, const header_list& headers) override;
     void body(std::string_view bytes) override;
-    void failed(const error& reason, dispatch_state dispatched) override;
 
 protected:
     endpoint_request next_attempt() override;
@@ -42,7 +41,6 @@
     std::string content_type;
     std::string answer_body;
     bool granted = false;
-    bool may_have_run = false;
     bool outcome_kept = false;
 };
 
--- a/include/eelgrassbend/serving/request_flow.h
+++ b/include/eelgrassbend/serving/request_flow.h
@@ -83,6 +83,9 @@
 
     [[nodiscard]] bool is_open() const { return this->open; }
 
+    /// Whether an endpoint can have begun the request.
+    [[nodiscard]] bool may_have_run() const { return this->may_have_begun || this->handle; }
+
     const serving_services& services;
     admitted_request admitted;
     monotonic_time accepted_at;
@@ -90,7 +93,6 @@
     attempt_id attempt;
     endpoint_info target;
     bool answer_started = false; ///< bytes have gone to the caller
-    bool dispatched_once = false;
 
 private:
     void choose_failed(const error& reason);
@@ -99,6 +101,7 @@
     void schedule_move(const endpoint_info& leaving);
     void move_elsewhere();
     void deadline_passed();
+    [[nodiscard]] request_outcome outcome_so_far() const;
 
     ended_handler on_ended;
     std::unique_ptr<attempt_handle> handle;
@@ -110,6 +113,8 @@
     int attempts = 0;
     money billed;
     bool first_progress = true;
+    bool dispatched_once = false;
+    bool may_have_begun = false; ///< by attempts that have ended
     bool open = true;
     bool delivering = false;
 };
--- a/lib/serving/plain_flow.cpp
+++ b/lib/serving/plain_flow.cpp
@@ -140,7 +140,6 @@
     }
     request.body = this->admitted.http.body;
     request.fresh_connection = !this->can_repeat;
-    this->may_have_run = true;
     return request;
 }
 
@@ -160,12 +159,6 @@
     this->note_progress(token_count{1});
 }
 
-void plain_flow::failed(const error& reason, dispatch_state dispatched)
-{
-    this->may_have_run = dispatched == dispatch_state::maybe_sent;
-    request_flow::failed(reason, dispatched);
-}
-
 result<void> plain_flow::answer_complete()
 {
     const auto digest = sha256_hex(this->answer_body);
@@ -207,7 +200,7 @@
     if (!std::exchange(this->granted, false) || this->outcome_kept) {
         return;
     }
-    if (this->may_have_run) {
+    if (this->may_have_run()) {
         this->services.claims.abandon(this->admitted.id);
         return;
     }
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -125,7 +125,7 @@
         return;
     }
     if (auto allowed = this->may_dispatch(); !allowed) {
-        this->refuse_request(allowed.error(), request_outcome::not_run);
+        this->refuse_request(allowed.error(), this->outcome_so_far());
         return;
     }
     this->target = *found;
@@ -162,6 +162,7 @@
 {
     if (this->handle) {
         this->handle.reset();
+        this->may_have_begun = true;
         this->services.routes.ended(this->attempt, how);
     }
     if (this->move_timer) {
@@ -172,7 +173,9 @@
 
 void request_flow::attempt_failed(const error& reason, dispatch_state dispatched)
 {
+    const bool began_before = this->may_have_begun;
     this->cancel_attempt(attempt_end::failed);
+    this->may_have_begun = began_before || dispatched == dispatch_state::maybe_sent;
     this->services.log.write(log_level::warning, "attempt_failed",
                              {{"request", this->admitted.id.value()},
                               {"attempt", this->attempt.value()},
@@ -183,10 +186,7 @@
                                   {{"service", this->admitted.service->id.value()}}, 1);
     const bool may_repeat = dispatched == dispatch_state::not_sent || this->repeatable();
     if (!may_repeat || this->attempts >= this->services.settings.most_attempts) {
-        const auto outcome = dispatched == dispatch_state::not_sent && !this->repeatable()
-                                 ? request_outcome::not_run
-                                 : request_outcome::unknown;
-        this->refuse_request(reason, outcome);
+        this->refuse_request(reason, this->outcome_so_far());
         return;
     }
     this->excluded.push_back(this->target.id);
@@ -234,18 +234,20 @@
     this->attempt_now();
 }
 
+request_outcome request_flow::outcome_so_far() const
+{
+    return this->may_have_run() ? request_outcome::unknown : request_outcome::not_run;
+}
+
 void request_flow::deadline_passed()
 {
     if (!this->open || this->delivering) {
         return;
     }
-    this->cancel_attempt(attempt_end::cancelled);
-    const auto outcome =
-        this->dispatched_once ? request_outcome::unknown : request_outcome::not_run;
     this->refuse_request(make_error(errc::timed_out, "serve request",
                                     this->admitted.service->id.value(),
                                     "the service's deadline has passed"),
-                         outcome);
+                         this->outcome_so_far());
 }
 
 void request_flow::give_up(const refusal& refused)
@@ -311,6 +313,7 @@
     auto self = this->shared_from_this();
     this->delivering = true;
     this->handle.reset();
+    this->may_have_begun = true;
     this->services.routes.ended(this->attempt, attempt_end::completed);
     const auto price = line.price;
     this->services.bills.intend(line, [self, price, send = std::move(send)](result<void> kept) {
--- /dev/null
+++ b/unittests/serving/model_flow_test.cpp
@@ -0,0 +1,250 @@
+#include "serving_fakes.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static const std::string streamed =
+    R"({"model":"draft","stream":true,"max_tokens":50,"messages":[{"role":"user","content":"lay out a badge"}]})";
+static const std::string whole =
+    R"({"model":"draft","max_tokens":50,"messages":[{"role":"user","content":"lay out a badge"}]})";
+
+/// Plays an engine towards the flow.
+class engine_script {
+public:
+    explicit engine_script(fake_endpoint_client::sent_attempt& attempt) : attempt(attempt) {}
+
+    engine_script& head()
+    {
+        this->attempt.observer->head(200, {});
+        return *this;
+    }
+
+    engine_script& token(const std::string& text)
+    {
+        return this->token_of(this->attempt.request.attempt.value(), text);
+    }
+
+    engine_script& token_of(const std::string& id, const std::string& text)
+    {
+        return this->raw("data: {\"id\":\"" + id +
+                         "\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text +
+                         "\"},\"finish_reason\":null}]}\n\n");
+    }
+
+    engine_script& last(int tokens)
+    {
+        return this->raw("data: {\"id\":\"" + this->attempt.request.attempt.value() +
+                         "\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],"
+                         "\"usage\":{\"prompt_tokens\":100,\"completion_tokens\":" +
+                         std::to_string(tokens) + ",\"cached_tokens\":0}}\n\ndata: [DONE]\n\n");
+    }
+
+    engine_script& raw(const std::string& bytes)
+    {
+        if (this->attempt.observer != nullptr) {
+            this->attempt.observer->body(bytes);
+        }
+        return *this;
+    }
+
+    void complete()
+    {
+        if (this->attempt.observer != nullptr) {
+            this->attempt.observer->completed();
+        }
+    }
+
+    void fail(dispatch_state dispatched)
+    {
+        this->attempt.observer->failed(make_error(errc::unavailable, "call endpoint", "e1"),
+                                       dispatched);
+    }
+
+private:
+    fake_endpoint_client::sent_attempt& attempt;
+};
+
+/// The text of a stream and whether its event ids count up from 1.
+struct read_stream {
+    explicit read_stream(const std::string& body)
+    {
+        std::size_t position = 0;
+        std::int64_t expected = 1;
+        while (position < body.size()) {
+            const auto end = body.find("\n\n", position);
+            const auto event = body.substr(position, end - position);
+            position = end + 2;
+            const auto data = event.find("data: ");
+            const auto content = event.substr(data + 6);
+            if (content == "[DONE]") {
+                this->done = true;
+                continue;
+            }
+            const auto id = event.substr(4, event.find('\n') - 4);
+            this->ids_in_order =
+                this->ids_in_order && id.ends_with(":" + std::to_string(expected++));
+            const auto json = nlohmann::json::parse(content);
+            this->text += json["choices"][0]["delta"].value("content", "");
+        }
+    }
+
+    std::string text;
+    bool ids_in_order = true;
+    bool done = false;
+};
+
+BOOST_FIXTURE_TEST_CASE(a_streamed_answer_is_billed_once_it_is_delivered, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    BOOST_REQUIRE(this->client.attempts.size() == 1);
+    engine_script{this->client.last()}.head().token("a").token(" b").last(2).complete();
+    const read_stream stream{answer->body};
+    BOOST_TEST(stream.text == "a b");
+    BOOST_TEST(stream.ids_in_order);
+    BOOST_TEST(stream.done);
+    BOOST_REQUIRE(this->bills.intended.size() == 1);
+    const auto& line = this->bills.intended.front();
+    BOOST_TEST(line.price.value() == 10 + 100 + 4);
+    BOOST_TEST(line.answer_digest == sha256_hex("a b"));
+    BOOST_TEST(this->bills.confirmed.size() == 1);
+    BOOST_TEST(this->limits.open.empty());
+    BOOST_TEST(this->routes.open.empty());
+    BOOST_TEST(this->door.active() == 0);
+    BOOST_TEST(this->log.count("route") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_that_is_not_delivered_is_not_billed, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", whole);
+    answer->deliverable = false;
+    engine_script{this->client.last()}.head().token("a").last(1).complete();
+    BOOST_TEST(this->bills.confirmed.empty());
+    BOOST_TEST(this->bills.cancelled.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_dead_endpoint_is_replaced_and_no_token_is_lost_or_doubled,
+                        serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    engine_script first{this->client.last()};
+    first.head().token("a").token(" b");
+    first.fail(dispatch_state::maybe_sent);
+    BOOST_REQUIRE(this->client.attempts.size() == 2);
+    BOOST_TEST(this->client.last().address.port == 9002);
+    const auto resumed = nlohmann::json::parse(this->client.last().request.body);
+    BOOST_TEST(resumed["resume"]["text"] == "a b");
+    BOOST_TEST(resumed["resume"]["tokens"] == 2);
+    engine_script{this->client.last()}.head().token(" c").last(3).complete();
+    const read_stream stream{answer->body};
+    BOOST_TEST(stream.text == "a b c");
+    BOOST_TEST(stream.ids_in_order);
+    BOOST_TEST(this->bills.confirmed.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_without_its_end_is_never_passed_off_as_whole, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", whole);
+    engine_script{this->client.last()}.head().token("a").complete();
+    BOOST_TEST(!answer->ended);
+    BOOST_REQUIRE(this->client.attempts.size() == 2);
+    engine_script{this->client.last()}.head().token(" b").last(2).complete();
+    BOOST_TEST(nlohmann::json::parse(answer->body)["choices"][0]["message"]["content"] == "a b");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_with_missing_tokens_is_not_whole, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", whole);
+    engine_script{this->client.last()}.head().token("a").last(2).complete();
+    BOOST_TEST(!answer->ended);
+    BOOST_TEST(this->client.attempts.size() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_event_of_another_attempt_never_reaches_the_caller, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    engine_script{this->client.last()}.head().token("a").token_of("other/1", " secret");
+    BOOST_TEST(answer->body.find("secret") == std::string::npos);
+    BOOST_TEST(this->client.attempts.size() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(what_a_late_attempt_says_is_dropped, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    auto& first = this->client.last();
+    engine_script{first}.head().token("a").fail(dispatch_state::maybe_sent);
+    BOOST_TEST(first.observer == nullptr);
+    engine_script{first}.token(" late");
+    BOOST_TEST(answer->body.find("late") == std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(work_on_a_leaving_endpoint_moves_before_it_is_taken, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    engine_script{this->client.last()}.head().token("a");
+    auto leaving = this->endpoints.list.front();
+    leaving.state = endpoint_state::leaving;
+    leaving.taken_at = this->time.wall_now() + seconds{5};
+    this->door.endpoint_changed(leaving);
+    this->time.run_for(seconds{3});
+    BOOST_TEST(this->client.attempts.size() == 1);
+    this->time.run_for(seconds{2});
+    BOOST_REQUIRE(this->client.attempts.size() == 2);
+    BOOST_TEST(this->client.last().address.port == 9002);
+    engine_script{this->client.last()}.head().token(" b").last(2).complete();
+    BOOST_TEST(read_stream{answer->body}.text == "a b");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_accepted_request_waits_when_no_endpoint_is_left, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    engine_script first{this->client.last()};
+    first.head().token("a");
+    const auto endpoints = std::exchange(this->routes.order, {});
+    first.fail(dispatch_state::maybe_sent);
+    this->time.run_for(seconds{5});
+    BOOST_TEST(!answer->ended);
+    this->routes.order = endpoints;
+    this->time.run_for(seconds{1});
+    BOOST_REQUIRE(this->client.attempts.size() == 2);
+    engine_script{this->client.last()}.head().token(" b").last(2).complete();
+    BOOST_TEST(read_stream{answer->body}.text == "a b");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_finds_no_endpoint_is_refused_as_not_run, serving_fixture)
+{
+    this->routes.order.clear();
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    BOOST_TEST(answer->status == 503);
+    BOOST_TEST(answer->header("Eelgrassbend-Outcome") == "not-run");
+    BOOST_TEST(answer->header("Retry-After") == "1");
+    BOOST_TEST(this->limits.open.empty());
+    BOOST_TEST(this->bills.intended.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(after_its_deadline_a_request_ends_as_unknown, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", whole);
+    engine_script{this->client.last()}.head().token("a");
+    this->time.run_for(seconds{61});
+    BOOST_TEST(answer->status == 504);
+    BOOST_TEST(answer->header("Eelgrassbend-Outcome") == "unknown");
+    BOOST_TEST(this->client.last().observer == nullptr);
+    BOOST_TEST(this->bills.intended.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_that_goes_away_ends_its_attempt, serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", streamed);
+    engine_script{this->client.last()}.head().token("a");
+    answer->gone();
+    BOOST_TEST(this->client.last().observer == nullptr);
+    BOOST_TEST(this->door.active() == 0);
+    BOOST_TEST(this->limits.open.empty());
+    BOOST_TEST(this->bills.intended.empty());
+}
+
+} // namespace eelgrassbend
