Prove the HTTP server and the endpoint client over loopback

Cause: nothing showed that a cut, crossed or silent connection is noticed, or that slow and malformed input harms nobody else.

--- /dev/null
+++ b/unittests/net/loopback.h
@@ -0,0 +1,95 @@
+#ifndef EELGRASSBEND_UNITTESTS_NET_LOOPBACK_H
+#define EELGRASSBEND_UNITTESTS_NET_LOOPBACK_H
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace eelgrassbend {
+
+/// Runs an io_context until `done` holds or `limit` has passed; answers whether it holds.
+inline bool run_until(boost::asio::io_context& context, const std::function<bool()>& done,
+                      std::chrono::milliseconds limit = std::chrono::seconds{10})
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!done() && std::chrono::steady_clock::now() < end) {
+        context.run_one_for(std::chrono::milliseconds{20});
+        context.restart();
+    }
+    return done();
+}
+
+/// A raw connection of a test to a server on the same io_context.
+class raw_client {
+public:
+    raw_client(boost::asio::io_context& context, std::uint16_t port)
+        : context(context), socket(context)
+    {
+        boost::system::error_code failure;
+        this->socket.connect({boost::asio::ip::make_address("127.0.0.1"), port}, failure);
+    }
+
+    void send(const std::string& bytes)
+    {
+        boost::system::error_code failure;
+        boost::asio::write(this->socket, boost::asio::buffer(bytes), failure);
+    }
+
+    /// Reads until `done` holds for what was received or the connection ends.
+    std::string receive(const std::function<bool(const std::string&)>& done)
+    {
+        this->read_more();
+        run_until(this->context, [&] { return this->ended || done(this->received); });
+        return this->received;
+    }
+
+    std::string receive_all()
+    {
+        return this->receive([](const std::string&) { return false; });
+    }
+
+    void close()
+    {
+        boost::system::error_code failure;
+        this->socket.close(failure);
+    }
+
+    bool ended = false;
+    std::string received;
+
+private:
+    void read_more()
+    {
+        if (std::exchange(this->reading, true)) {
+            return;
+        }
+        this->socket.async_read_some(
+            boost::asio::buffer(this->piece),
+            [this](boost::system::error_code failure, std::size_t length) {
+                this->reading = false;
+                if (failure) {
+                    this->ended = true;
+                    return;
+                }
+                this->received.append(this->piece.data(), length);
+                this->read_more();
+            });
+    }
+
+    boost::asio::io_context& context;
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 65536> piece{};
+    bool reading = false;
+};
+
+} // namespace eelgrassbend
+
+#endif
