--- a/lib/bundle/document.cpp
+++ b/lib/bundle/document.cpp
@@ -117,6 +117,11 @@
     return join(this->path, key);
 }
 
+bool table_reader::has(const std::string& key) const
+{
+    return this->values.is_object() && this->values.contains(key);
+}
+
 void table_reader::fail(const std::string& key, const std::string& problem)
 {
     this->errors.add(this->path_of(key), problem);
--- a/lib/bundle/document.h
+++ b/lib/bundle/document.h
@@ -59,6 +59,7 @@
     /// Calls `read` for the table at `key`, or for an empty one if it is missing.
     void table(const std::string& key, const std::function<void(table_reader&)>& read);
 
+    [[nodiscard]] bool has(const std::string& key) const;
     void fail(const std::string& key, const std::string& problem);
     /// Reports the keys that were not read.
     void finish();
