Add claims that let a request run at most once under its key

Cause: callers retry non-idempotent requests at any entry node, and no two of them may be dispatched under one key. Change: lib/claims decides by the offsets of the streams claims-<p>. A claim counts if nobody holds the key at its offset; only the holder's own node appends a release, which also voids a claim that takes effect later; outcomes are recorded. Claims are batched, by a partition's owner where one is reachable. Lost answers are settled by reading. The claim interface gains not_dispatched, for a refused connection; it has a default, so other implementations keep building. Schemas move to proto/. Fakes for peers, membership and a pausable node under unittests/fakes. 18 tests over 1 to 6 nodes; each of 13 faults put into the code for a moment (second holder, no voiding release, no release after a withdrawn claim, no reading after a lost answer, second dispatch, no grant limit, release after dispatch and so on) made at least one of them fail.

--- a/include/eelgrassbend/claims/claim_service.h
+++ b/include/eelgrassbend/claims/claim_service.h
@@ -42,8 +42,14 @@
     /// and within a bounded time. `granted` is good until `dispatch_allowed` says otherwise.
     virtual void claim(const std::string& scope, const idempotency_key& key,
                        const request_id& request, claim_handler handler) = 0;
-    /// To be asked immediately before dispatch; false once the grant is too old to use.
+    /// To be asked immediately before dispatch; true at most once for a grant, and false once
+    /// the grant is too old to use.
     virtual bool dispatch_allowed(const request_id& request) = 0;
+
+    /// Gives the permission of `dispatch_allowed` back; only if it is certain that no byte was
+    /// sent, for example because the connection was refused.
+    virtual void not_dispatched(const request_id& request) { static_cast<void>(request); }
+
     /// Frees the key; only for a granted request that never dispatched.
     virtual void release(const request_id& request, done_handler handler) = 0;
     /// Keeps the outcome of a granted request.
--- a/schemas/claims.capnp
+++ b/proto/claims.capnp
@@ -30,12 +30,11 @@
 # Entry node to the batcher of a partition: append these records.
 struct BatchRequest {
   partition @0 :UInt32;
-  records @1 :List(LogRecord);
+  records @1 :List(Payload);
 }
 
-struct LogRecord {
-  id @0 :Text;
-  payload @1 :Data;       # a Record
+struct Payload {
+  payload @0 :Data;       # a Record
 }
 
 # One verdict for each record asked for, in order.
