--- /dev/null
+++ b/include/eelgrassbend/peers/peer_channel.h
@@ -0,0 +1,58 @@
+#ifndef EELGRASSBEND_PEERS_PEER_CHANNEL_H
+#define EELGRASSBEND_PEERS_PEER_CHANNEL_H
+
+#include "eelgrassbend/peers/frame_authenticator.h"
+#include "eelgrassbend/peers/peer_message.h"
+#include "eelgrassbend/peers/peer_transport.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace eelgrassbend {
+
+/// What passed through a channel since it was made.
+struct channel_counters {
+    std::uint64_t sent = 0;
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t received = 0;
+    std::uint64_t received_bytes = 0;
+    std::uint64_t unauthenticated = 0; ///< key unknown or code wrong
+    std::uint64_t replayed = 0;        ///< opened before or outside the time window
+    std::uint64_t malformed = 0;
+    std::uint64_t oversized = 0; ///< not sent
+};
+
+/// Typed and authenticated messages over one datagram transport, for membership and dissemination.
+class peer_channel {
+public:
+    using swim_handler = std::function<void(const network_address& from, const swim_message&)>;
+    /// For rumour, rumour_digest and rumour_request.
+    using rumour_handler = std::function<void(const network_address& from, const peer_message&)>;
+
+    /// `own_address` is where peers send to.
+    peer_channel(datagram_transport& transport, frame_authenticator& authenticator,
+                 network_address own_address);
+    peer_channel(const peer_channel&) = delete;
+    peer_channel& operator=(const peer_channel&) = delete;
+    ~peer_channel();
+
+    void send(const network_address& to, const peer_message& message);
+    void on_swim(swim_handler handler);
+    void on_rumour(rumour_handler handler);
+
+    [[nodiscard]] const channel_counters& counters() const { return this->counts; }
+
+private:
+    void receive(const network_address& from, const std::string& bytes);
+
+    datagram_transport& transport;
+    frame_authenticator& authenticator;
+    std::string own_address;
+    swim_handler swim;
+    rumour_handler rumours;
+    channel_counters counts;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/peers/peer_message.h
@@ -0,0 +1,115 @@
+#ifndef EELGRASSBEND_PEERS_PEER_MESSAGE_H
+#define EELGRASSBEND_PEERS_PEER_MESSAGE_H
+
+#include "eelgrassbend/membership/membership.h"
+#include "eelgrassbend/support/error.h"
+#include "eelgrassbend/support/ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// Largest encoded message that fits a datagram of 1,200 bytes with its frame, in bytes.
+constexpr std::size_t max_message_bytes = 1'150;
+/// Largest payload of a rumour, in bytes.
+constexpr std::size_t max_rumour_payload_bytes = 900;
+/// Largest topic of a rumour, in bytes.
+constexpr std::size_t max_topic_bytes = 32;
+/// Largest number of rumour ids in one message.
+constexpr std::size_t max_rumour_ids = 120;
+
+struct no_body {};
+
+struct probe {
+    std::uint64_t nonce = 0;
+};
+
+struct probe_ack {
+    std::uint64_t nonce = 0;
+};
+
+/// Asks the receiver to probe `target` and to relay its ack.
+struct probe_request {
+    std::uint64_t nonce = 0;
+    node_id target;
+    network_address address;
+};
+
+struct relayed_ack {
+    std::uint64_t nonce = 0;
+    node_id target;
+};
+
+/// One hash for each bucket of the member table.
+struct table_digest {
+    std::vector<std::uint32_t> buckets;
+    bool answer = false; ///< an answer gets no answer
+};
+
+/// The bundle version of the member with this `version_key`.
+struct version_sample {
+    std::uint32_t key = 0;
+    bundle_version version;
+};
+
+/// A message of the failure detector with piggy-backed updates.
+struct swim_message {
+    member sender;
+    std::variant<no_body, probe, probe_ack, probe_request, relayed_ack, table_digest> body;
+    std::vector<member> updates;
+    std::vector<version_sample> versions;
+};
+
+/// A disseminated message.
+struct rumour {
+    std::uint64_t id = 0;
+    std::uint32_t age_ms = 0; ///< time since it was published
+    std::string topic;
+    std::string payload;
+};
+
+/// Ids of rumours that the sender holds.
+struct rumour_digest {
+    std::vector<std::uint64_t> ids;
+};
+
+/// Ids of rumours that the sender wants.
+struct rumour_request {
+    std::vector<std::uint64_t> ids;
+};
+
+using peer_message = std::variant<swim_message, rumour, rumour_digest, rumour_request>;
+
+/// Encodes a message; `invalid_argument` if an address is no IP number or a field is too long.
+result<std::string> encode_message(const peer_message& message);
+/// Decodes bytes from a peer; `invalid_argument` if they are malformed or out of bounds.
+result<peer_message> decode_message(std::string_view bytes);
+
+/// Upper bound of what a member adds to an encoded message, in bytes.
+std::size_t encoded_member_bytes(const member& record);
+
+/// A call between entry nodes.
+struct peer_call {
+    std::uint16_t method = 0;
+    std::string body;
+};
+
+/// What the peer answered: bytes or the error at its side.
+struct peer_answer {
+    std::string body;
+    error failure; ///< its code is set if the peer answered with an error
+};
+
+std::string encode_call(const peer_call& call);
+result<peer_call> decode_call(std::string_view bytes);
+std::string encode_answer(const result<std::string>& answer);
+result<peer_answer> decode_answer(std::string_view bytes);
+
+} // namespace eelgrassbend
+
+#endif
