Add the bench program with a registry of experiments

Cause: measurements of several components need one program with common options. Result: the program builds and refuses an unknown name with the list of those it knows; the list is still empty.

--- /dev/null
+++ b/bench/experiments.h
@@ -0,0 +1,16 @@
+#ifndef EELGRASSBEND_BENCH_EXPERIMENTS_H
+#define EELGRASSBEND_BENCH_EXPERIMENTS_H
+
+#include "experiment.h"
+
+#include <memory>
+#include <vector>
+
+namespace eelgrassbend::bench {
+
+/// Each experiment has its factory in the source file of its name.
+using experiment_list = std::vector<std::unique_ptr<experiment>>;
+
+} // namespace eelgrassbend::bench
+
+#endif
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,50 @@
+#include "experiments.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <iostream>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of all random numbers");
+ABSL_FLAG(std::uint32_t, nodes, 0, "number of nodes; 0 runs all sizes of the experiment");
+
+namespace eelgrassbend::bench {
+
+static experiment_list make_experiments()
+{
+    return {};
+}
+
+static int list(const experiment_list& experiments)
+{
+    std::cerr << "usage: eelgrassbend-bench [--seed=N] [--nodes=N] <experiment>\n";
+    for (const auto& known : experiments) {
+        std::cerr << "  " << known->name() << ": " << known->help() << "\n";
+    }
+    return 2;
+}
+
+static int run(const std::vector<char*>& arguments)
+{
+    const auto experiments = make_experiments();
+    if (arguments.size() != 2) {
+        return list(experiments);
+    }
+    const experiment_options options{absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_nodes)};
+    for (const auto& known : experiments) {
+        if (known->name() == arguments[1]) {
+            return known->run(options, std::cout);
+        }
+    }
+    std::cerr << "unknown experiment: " << arguments[1] << "\n";
+    return list(experiments);
+}
+
+} // namespace eelgrassbend::bench
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("eelgrassbend-bench [--seed=N] [--nodes=N] <experiment>");
+    return eelgrassbend::bench::run(absl::ParseCommandLine(argc, argv));
+}
