Model an engine with continuous batching, a prefix cache and late reports

A step computes one token for each decoding attempt and a chunk of waiting prompts, so that prefill and decoding compete; the queue goes by priority and arrival; cache events and load come late, events with gaps; answers depend on the prompt alone, which makes a resumed answer comparable by bytes. KV transfers and orders take the time of their bytes.

Roles are kept as state and change nothing in the engine's work.

--- a/include/eelgrassbend/engine_model/engine_model.h
+++ b/include/eelgrassbend/engine_model/engine_model.h
@@ -115,7 +115,8 @@
 
     /// Queues an attempt. `observer` must live until it hears `finished` or `cancelled`, or the
     /// engine is gone, and is never called from within. Errors: `unavailable` if the queue is
-    /// full, `not_found` if the model is not loaded, `conflict` if the attempt is known.
+    /// full, `not_found` if the model is not loaded, `conflict` if the attempt is known,
+    /// `timed_out` if the deadline is not in the future.
     result<void> submit(engine_request request, engine_observer& observer);
     /// Ends an attempt; `cancelled` is called from within. False if it is not there.
     bool cancel(const attempt_id& attempt);
@@ -127,7 +128,8 @@
     /// Events with a sequence of at least `from` that are old enough to be seen.
     [[nodiscard]] cache_event_page cache_events(std::uint64_t from) const;
 
-    /// Stretches every step and transfer that begins from here on; 1 is the normal speed.
+    /// Stretches every step and transfer that begins from here on; 1 is the normal speed, 0 and
+    /// less are not allowed.
     void set_slowdown(double factor);
     /// Share of cache events that get lost.
     void set_cache_event_loss(double probability);
--- /dev/null
+++ b/lib/engine_model/implementation.cpp
@@ -0,0 +1,338 @@
+#include "implementation.h"
+
+#include "eelgrassbend/routing/router.h"
+
+#include <algorithm>
+
+namespace eelgrassbend {
+
+/// Attempts whose blocks can be exported after their end.
+static constexpr std::size_t ended_limit = 64;
+
+static load_report idle_report(const engine_settings& settings)
+{
+    load_report report;
+    report.slots = settings.slots;
+    return report;
+}
+
+engine_model::implementation::implementation(engine_settings settings, scheduler& timers,
+                                             random_source& random)
+    : settings(std::move(settings)),
+      timers(timers),
+      events(this->settings.cache_event_limit, this->settings.cache_event_delay, random),
+      cache(this->settings.cache_blocks),
+      history(this->settings.load_report_lag, timers.now(), idle_report(this->settings))
+{
+    this->events.set_loss(this->settings.cache_event_loss);
+    if (!this->settings.initial_model.value().empty()) {
+        this->models.push_back({this->settings.initial_model, {}, {}});
+    }
+}
+
+engine_model::implementation::queue_key engine_model::implementation::key_of(const stream& entry)
+{
+    return {entry.request.priority, entry.arrival};
+}
+
+engine_usage engine_model::implementation::usage_of(const stream& entry)
+{
+    return {token_count{entry.request.prompt.tokens.tokens()}, token_count{entry.emitted},
+            token_count{entry.cached}, entry.request.resumed_tokens};
+}
+
+result<void> engine_model::implementation::check(const engine_request& request) const
+{
+    const std::string step = "submit to engine";
+    if (request.max_tokens < token_count{1} || request.resumed_tokens < token_count{0}) {
+        return make_error(errc::invalid_argument, step, {}, "token counts out of bounds");
+    }
+    if (request.deadline && *request.deadline <= duration::zero()) {
+        return make_error(errc::timed_out, step, {}, "deadline has passed");
+    }
+    if (!this->is_loaded(request.model)) {
+        return make_error(errc::not_found, step, {}, "model not loaded");
+    }
+    if (this->streams.contains(request.attempt.value())) {
+        return make_error(errc::conflict, step, {}, "attempt is known");
+    }
+    if (this->waiting.size() >= this->settings.queue_limit) {
+        return make_error(errc::unavailable, step, {}, "queue is full");
+    }
+    return boost::outcome_v2::success();
+}
+
+engine_model::implementation::stream_pointer
+engine_model::implementation::make_stream(engine_request request, engine_observer& observer)
+{
+    auto entry = std::make_shared<stream>();
+    entry->observer = &observer;
+    entry->arrival = this->next_arrival++;
+    entry->sequence = request.prompt.tokens;
+    for (const auto& token : split_tokens(request.resumed_text)) {
+        entry->sequence.append(token);
+    }
+    const auto natural = request.answer_length.value_or(answer_length(request.prompt.seed));
+    entry->end = std::min(natural, request.max_tokens).value();
+    entry->reason = natural > request.max_tokens ? finish_reason::length : finish_reason::stop;
+    entry->emitted = request.resumed_tokens.value();
+    if (request.deadline) {
+        entry->deadline = this->timers.now() + *request.deadline;
+    }
+    entry->request = std::move(request);
+    return entry;
+}
+
+result<void> engine_model::implementation::submit(engine_request request, engine_observer& observer)
+{
+    auto checked = this->check(request);
+    if (!checked) {
+        return checked;
+    }
+    auto entry = this->make_stream(std::move(request), observer);
+    this->streams.emplace(entry->request.attempt.value(), entry);
+    this->waiting_prompt_tokens += entry->sequence.tokens();
+    this->waiting.emplace(key_of(*entry), std::move(entry));
+    this->note_load();
+    if (!this->step_under_way) {
+        this->begin_step();
+    }
+    return boost::outcome_v2::success();
+}
+
+bool engine_model::implementation::cancel(const attempt_id& attempt)
+{
+    const auto found = this->streams.find(attempt.value());
+    if (found == this->streams.end()) {
+        return false;
+    }
+    this->cancel_stream(stream_pointer{found->second});
+    return true;
+}
+
+void engine_model::implementation::stop()
+{
+    this->stopped = true;
+    if (this->step_under_way) {
+        this->timers.cancel(this->step_timer);
+    }
+}
+
+void engine_model::implementation::after(duration delay, std::function<void()> action)
+{
+    this->timers.call_after(delay, [weak = this->weak_from_this(), run = std::move(action)] {
+        const auto self = weak.lock();
+        if (self && !self->stopped) {
+            run();
+        }
+    });
+}
+
+duration engine_model::implementation::stretched(double seconds) const
+{
+    const std::chrono::duration<double> span{seconds * this->slowdown};
+    return std::chrono::duration_cast<duration>(span);
+}
+
+void engine_model::implementation::begin_step()
+{
+    this->admit();
+    this->step_under_way = !this->running.empty();
+    if (!this->step_under_way) {
+        this->tokens_per_second = 0.0;
+        this->note_load();
+        return;
+    }
+    this->step_started = this->timers.now();
+    this->note_load();
+    const auto weak = this->weak_from_this();
+    this->step_timer = this->timers.call_after(this->plan_step(), [weak] {
+        if (const auto self = weak.lock()) {
+            self->end_step();
+        }
+    });
+}
+
+void engine_model::implementation::admit()
+{
+    this->cancel_expired();
+    while (this->running.size() < this->settings.slots && !this->waiting.empty()) {
+        const auto entry = this->waiting.begin()->second;
+        this->waiting.erase(this->waiting.begin());
+        const auto tokens = entry->sequence.tokens();
+        this->waiting_prompt_tokens -= tokens;
+        const auto blocks = static_cast<std::int64_t>(this->cache.match(entry->sequence.blocks()));
+        // The last token is always computed, since the first output token follows from it.
+        entry->cached =
+            std::max<std::int64_t>(0, std::min(blocks * prefix_block_tokens, tokens - 1));
+        entry->prefill_left = std::max<std::int64_t>(1, tokens - entry->cached);
+        this->totals.cached_tokens += token_count{entry->cached};
+        this->running.push_back(entry);
+    }
+}
+
+// Chunks of prefill go to the attempts of the highest priority first, one step after another, while
+// all others go on decoding.
+duration engine_model::implementation::plan_step()
+{
+    auto by_priority = this->running;
+    std::sort(by_priority.begin(), by_priority.end(),
+              [](const auto& left, const auto& right) { return key_of(*left) < key_of(*right); });
+    std::int64_t decoding = 0;
+    std::int64_t budget = this->settings.prefill_chunk_tokens;
+    for (const auto& entry : by_priority) {
+        if (entry->prefill_left == 0) {
+            ++decoding;
+            continue;
+        }
+        entry->chunk = std::min(entry->prefill_left, budget);
+        budget -= entry->chunk;
+    }
+    const auto prefilled = this->settings.prefill_chunk_tokens - budget;
+    const std::chrono::duration<double> decode_time =
+        this->settings.step_base + this->settings.step_per_stream * decoding;
+    const auto prefill_time =
+        static_cast<double>(prefilled) / this->settings.prefill_tokens_per_second;
+    return this->stretched(decode_time.count() + prefill_time);
+}
+
+void engine_model::implementation::end_step()
+{
+    const auto batch = this->running;
+    const auto emitted_before = this->totals.output_tokens;
+    for (const auto& entry : batch) {
+        if (this->stopped) {
+            return;
+        }
+        if (!entry->ended && this->advance(*entry)) {
+            this->emit(entry);
+        }
+    }
+    if (this->stopped) {
+        return;
+    }
+    const auto span = this->timers.now() - this->step_started;
+    this->totals.busy += span;
+    const auto emitted = this->totals.output_tokens - emitted_before;
+    const std::chrono::duration<double> seconds = span;
+    this->tokens_per_second = static_cast<double>(emitted.value()) / seconds.count();
+    this->begin_step();
+}
+
+/// Accounts for the chunk of the step; true if a token of the answer was computed.
+bool engine_model::implementation::advance(stream& entry)
+{
+    if (entry.prefill_left == 0) {
+        return true;
+    }
+    this->totals.prefilled_tokens += token_count{entry.chunk};
+    entry.prefill_left -= entry.chunk;
+    entry.chunk = 0;
+    if (entry.prefill_left > 0) {
+        return false;
+    }
+    this->store_blocks(entry.sequence.blocks());
+    return true;
+}
+
+void engine_model::implementation::emit(const stream_pointer& entry)
+{
+    if (entry->emitted < entry->end) {
+        const auto index = entry->emitted++;
+        const auto text = answer_token(entry->request.prompt.seed, index);
+        const auto first_letter = text.find_first_not_of(' ');
+        entry->sequence.append(std::string_view{text}.substr(first_letter));
+        this->totals.output_tokens += token_count{1};
+        entry->observer->token(entry->request.attempt, index, text);
+    }
+    if (!entry->ended && !this->stopped && entry->emitted >= entry->end) {
+        this->finish(entry);
+    }
+}
+
+void engine_model::implementation::finish(const stream_pointer& entry)
+{
+    this->remove(entry);
+    entry->observer->finished(entry->request.attempt, usage_of(*entry), entry->reason);
+}
+
+void engine_model::implementation::cancel_stream(const stream_pointer& entry)
+{
+    this->remove(entry);
+    this->note_load();
+    entry->observer->cancelled(entry->request.attempt, usage_of(*entry));
+}
+
+void engine_model::implementation::cancel_expired()
+{
+    std::vector<stream_pointer> expired;
+    for (const auto& [attempt, entry] : this->streams) {
+        if (entry->deadline && *entry->deadline <= this->timers.now()) {
+            expired.push_back(entry);
+        }
+    }
+    std::sort(expired.begin(), expired.end(),
+              [](const auto& left, const auto& right) { return left->arrival < right->arrival; });
+    for (const auto& entry : expired) {
+        if (!entry->ended && !this->stopped) {
+            this->cancel_stream(entry);
+        }
+    }
+}
+
+void engine_model::implementation::remove(const stream_pointer& entry)
+{
+    entry->ended = true;
+    this->streams.erase(entry->request.attempt.value());
+    if (this->waiting.erase(key_of(*entry)) > 0) {
+        this->waiting_prompt_tokens -= entry->sequence.tokens();
+        return;
+    }
+    std::erase(this->running, entry);
+    if (entry->prefill_left > 0) {
+        return;
+    }
+    this->store_blocks(entry->sequence.blocks());
+    this->ended_lately.emplace_back(entry->request.attempt, entry->sequence.blocks());
+    if (this->ended_lately.size() > ended_limit) {
+        this->ended_lately.pop_front();
+    }
+}
+
+void engine_model::implementation::store_blocks(const std::vector<std::uint64_t>& chain)
+{
+    auto change = this->cache.insert(chain);
+    const auto now = this->timers.now();
+    if (!change.stored.empty()) {
+        this->events.record(now, cache_event_kind::stored, std::move(change.stored));
+    }
+    if (!change.evicted.empty()) {
+        this->events.record(now, cache_event_kind::evicted, std::move(change.evicted));
+    }
+}
+
+load_report engine_model::implementation::true_load() const
+{
+    load_report report;
+    report.measured_at = this->timers.wall_now();
+    report.slots = this->settings.slots;
+    report.running = static_cast<std::uint32_t>(this->running.size());
+    report.queued = static_cast<std::uint32_t>(this->waiting.size());
+    report.queued_prompt_tokens = token_count{this->waiting_prompt_tokens};
+    report.tokens_per_second = this->tokens_per_second;
+    return report;
+}
+
+load_report engine_model::implementation::lagging_load() const
+{
+    auto report = this->history.at(this->timers.now() - this->settings.load_report_lag);
+    report.measured_at = this->timers.wall_now() - this->settings.load_report_lag;
+    return report;
+}
+
+void engine_model::implementation::note_load()
+{
+    this->history.record(this->timers.now(), this->true_load());
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/engine_model/prefix_cache.h
@@ -0,0 +1,41 @@
+#ifndef EELGRASSBEND_LIB_ENGINE_MODEL_PREFIX_CACHE_H
+#define EELGRASSBEND_LIB_ENGINE_MODEL_PREFIX_CACHE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// What one insertion changed.
+struct prefix_cache_change {
+    std::vector<std::uint64_t> stored;
+    std::vector<std::uint64_t> evicted;
+};
+
+/// A bounded set of block hashes; the least recently used ones are evicted first.
+class prefix_cache {
+public:
+    explicit prefix_cache(std::size_t capacity) : capacity(capacity) {}
+
+    /// How many blocks from the start of the chain are there; they become the most recent.
+    std::size_t match(const std::vector<std::uint64_t>& chain);
+    /// Stores a chain, cut to the capacity.
+    prefix_cache_change insert(const std::vector<std::uint64_t>& chain);
+    void clear();
+
+    [[nodiscard]] std::size_t size() const { return this->order.size(); }
+
+private:
+    void touch(std::uint64_t block);
+
+    std::size_t capacity;
+    std::list<std::uint64_t> order; ///< most recent first
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/engine_model/reports.cpp
@@ -0,0 +1,68 @@
+#include "reports.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassbend {
+
+load_history::load_history(duration span, monotonic_time now, const load_report& first)
+    : span(span), samples{{now, first}}
+{
+}
+
+void load_history::record(monotonic_time now, const load_report& report)
+{
+    if (this->samples.back().since == now) {
+        this->samples.back().report = report;
+    }
+    else {
+        this->samples.push_back({now, report});
+    }
+    while (this->samples.size() > 1 && this->samples[1].since <= now - this->span) {
+        this->samples.pop_front();
+    }
+}
+
+const load_report& load_history::at(monotonic_time time) const
+{
+    const auto later = [](monotonic_time wanted, const sample& entry) {
+        return wanted < entry.since;
+    };
+    const auto after = std::upper_bound(this->samples.begin(), this->samples.end(), time, later);
+    return after == this->samples.begin() ? after->report : std::prev(after)->report;
+}
+
+cache_event_log::cache_event_log(std::size_t limit, duration delay, random_source& random)
+    : limit(limit), delay(delay), random(random)
+{
+}
+
+void cache_event_log::record(monotonic_time now, cache_event_kind kind,
+                             std::vector<std::uint64_t> blocks)
+{
+    const auto sequence = this->next_sequence++;
+    if (random_unit(this->random) < this->loss) {
+        return;
+    }
+    this->entries.push_back({now + this->delay, {sequence, kind, std::move(blocks)}});
+    if (this->entries.size() > this->limit) {
+        this->entries.pop_front();
+    }
+}
+
+cache_event_page cache_event_log::read(monotonic_time now, std::uint64_t from) const
+{
+    cache_event_page page;
+    for (const auto& entry : this->entries) {
+        if (entry.visible_from > now) {
+            break;
+        }
+        page.next = entry.event.sequence + 1;
+        if (entry.event.sequence >= from) {
+            page.events.push_back(entry.event);
+        }
+    }
+    return page;
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/engine_model/reports.h
@@ -0,0 +1,61 @@
+#ifndef EELGRASSBEND_LIB_ENGINE_MODEL_REPORTS_H
+#define EELGRASSBEND_LIB_ENGINE_MODEL_REPORTS_H
+
+#include "eelgrassbend/endpoints/load_report.h"
+#include "eelgrassbend/engine_model/engine_model.h"
+#include "eelgrassbend/support/random_source.h"
+#include "eelgrassbend/support/units.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// Remembers the load of the near past.
+class load_history {
+public:
+    load_history(duration span, monotonic_time now, const load_report& first);
+
+    void record(monotonic_time now, const load_report& report);
+    /// The load that held at `time`, or the earliest one known.
+    [[nodiscard]] const load_report& at(monotonic_time time) const;
+
+private:
+    struct sample {
+        monotonic_time since;
+        load_report report;
+    };
+
+    duration span;
+    std::deque<sample> samples;
+};
+
+/// Numbers cache events, loses some and shows the others late.
+class cache_event_log {
+public:
+    cache_event_log(std::size_t limit, duration delay, random_source& random);
+
+    void record(monotonic_time now, cache_event_kind kind, std::vector<std::uint64_t> blocks);
+    [[nodiscard]] cache_event_page read(monotonic_time now, std::uint64_t from) const;
+
+    void set_loss(double probability) { this->loss = probability; }
+
+private:
+    struct entry {
+        monotonic_time visible_from;
+        cache_event event;
+    };
+
+    std::size_t limit;
+    duration delay;
+    random_source& random;
+    double loss = 0.0;
+    std::uint64_t next_sequence = 0;
+    std::deque<entry> entries;
+};
+
+} // namespace eelgrassbend
+
+#endif
