Hedge slow first tokens within a budget and log decisions whole

A straggler holds its first tokens back longer than any new choice can mend. budgeted_hedges says when an idempotent request may have a second attempt: after the time that 95 in 100 of its service and class need, within the bundle's hedge_budget; share_budget serves retries as well. to_json writes a decision with the inputs of a bounded number of candidates; candidate_score and route_decision carry these inputs, all with defaults.

Tests seen to fail first: the budget without its bound, hedges of requests that are not idempotent, a delay that never falls, a log line without the load.

--- a/include/eelgrassbend/routing/router.h
+++ b/include/eelgrassbend/routing/router.h
@@ -35,7 +35,16 @@
     duration predicted{}; ///< until the first token
     money cost;
     std::int64_t cached_tokens = 0;
-    std::string note; ///< why it is not eligible; empty if it is
+    std::string note;      ///< why it is not eligible; empty if it is
+    duration slot_wait{};  ///< part of `predicted` before a slot is free
+    duration token_time{}; ///< predicted time between tokens
+    duration completion{}; ///< predicted until the last token
+    double load = 0.0;     ///< attempts of all nodes there, as far as known
+    std::uint32_t own = 0; ///< attempts of this node there
+    std::uint32_t slots = 0;
+    std::int64_t prompt_work = 0; ///< uncached prompt tokens, those queued before included
+    money price_per_hour;
+    bool meets_target = false;
 };
 
 struct route_decision {
@@ -43,7 +52,9 @@
     std::string policy;
     std::string reason;
     bundle_version version;
-    std::vector<candidate_score> candidates;
+    std::vector<candidate_score> candidates; ///< the chosen one first; a bounded number
+    std::uint32_t considered = 0;            ///< candidates that were compared
+    std::uint32_t near_equals = 0;           ///< of these, as good as the best
 };
 
 /// How an attempt ended, for what the router learns from it.
--- /dev/null
+++ b/lib/routing/hedge_policy.cpp
@@ -0,0 +1,57 @@
+#include "eelgrassbend/routing/hedge_policy.h"
+
+#include <algorithm>
+
+namespace eelgrassbend {
+
+namespace {
+
+constexpr double usual_share = 0.95;
+/// Step of the estimate, as a share of it.
+constexpr double estimate_step = 0.05;
+constexpr duration shortest_delay = std::chrono::milliseconds{80};
+constexpr duration first_estimate = std::chrono::milliseconds{500};
+/// A first token that is expected late is not hedged before this multiple of the expectation.
+constexpr double prediction_slack = 1.5;
+
+} // namespace
+
+static duration scaled(duration time, double factor)
+{
+    return duration{static_cast<duration::rep>(static_cast<double>(time.count()) * factor)};
+}
+
+std::optional<duration> budgeted_hedges::delay(const route_request& request,
+                                               const route_decision& decision)
+{
+    const auto current = this->bundles.current();
+    const auto spec = std::ranges::find(current->services, request.service, &service_spec::id);
+    if (spec == current->services.end() || spec->hedge_budget <= 0.0) {
+        return std::nullopt;
+    }
+    this->budget.earn(request.service, spec->hedge_budget);
+    if (!request.idempotent) {
+        return std::nullopt;
+    }
+    const auto predicted =
+        decision.candidates.empty() ? duration::zero() : decision.candidates.front().predicted;
+    const auto found = this->usual.find({request.service, request.size});
+    const auto usual_time = found == this->usual.end() ? first_estimate : found->second;
+    return std::max({shortest_delay, usual_time, scaled(predicted, prediction_slack)});
+}
+
+bool budgeted_hedges::start(const service_id& service)
+{
+    return this->budget.spend(service);
+}
+
+void budgeted_hedges::first_token(const service_id& service, request_class size, duration elapsed)
+{
+    auto& estimate =
+        this->usual.try_emplace(std::pair{service, size}, first_estimate).first->second;
+    const bool slower = elapsed > estimate;
+    const double change = slower ? usual_share : usual_share - 1.0;
+    estimate = std::max(shortest_delay, estimate + scaled(estimate, estimate_step * change));
+}
+
+} // namespace eelgrassbend
--- a/lib/routing/predictive_policy.cpp
+++ b/lib/routing/predictive_policy.cpp
@@ -23,6 +23,8 @@
 constexpr double normal_queue_share = 0.0;
 /// Time between two requests that are sent to a suspected endpoint to see whether it recovered.
 constexpr duration probe_interval = std::chrono::seconds{2};
+constexpr std::string_view no_free_slot = "no free slot";
+constexpr std::string_view suspected_note = "suspected";
 /// Candidates that a decision names.
 constexpr std::size_t described_candidates = 6;
 
@@ -57,23 +59,30 @@
     auto candidates = this->evaluate(table, request);
     const auto now = this->clock.now();
     std::string reason = "suspected endpoint tried for recovery";
+    std::uint32_t near_equals = 1;
     const auto* chosen = this->probe(table, request, candidates);
     if (chosen == nullptr) {
-        chosen = this->select(candidates, request, reason);
+        chosen = this->select(candidates, request, reason, near_equals);
     }
     if (chosen != nullptr) {
         this->guard.admitted(now, request.size);
-        return describe(table, candidates, *chosen, std::move(reason));
+        auto decision = describe(table, candidates, *chosen, std::move(reason));
+        decision.near_equals = near_equals;
+        return decision;
     }
     this->guard.refused(now, request.size);
-    const bool full = std::ranges::any_of(
-        candidates, [](const candidate& each) { return each.note == "no free slot"; });
-    if (full) {
-        return make_error(errc::rate_limited, "choose endpoint", table.id().value(),
-                          "no endpoint has a free slot for this class of requests");
-    }
-    return make_error(errc::unavailable, "choose endpoint", table.id().value(),
-                      "no endpoint takes new work");
+    return refuse(table, candidates);
+}
+
+error predictive_policy::refuse(const service_table& table, const candidate_list& candidates)
+{
+    const auto full = std::ranges::count(candidates, no_free_slot, &candidate::note);
+    const auto slow = std::ranges::count(candidates, suspected_note, &candidate::note);
+    const auto counts = std::to_string(candidates.size()) + " considered, " + std::to_string(full) +
+                        " without a free slot for this class, " + std::to_string(slow) +
+                        " suspected";
+    const auto code = full > 0 ? errc::rate_limited : errc::unavailable;
+    return make_error(code, "choose endpoint", table.id().value(), counts);
 }
 
 std::vector<endpoint_index> predictive_policy::collect(const service_table& table,
@@ -110,10 +119,10 @@
             each.note = "excluded";
         }
         else if (table.review(index, now)) {
-            each.note = "suspected";
+            each.note = suspected_note;
         }
         else if (record.load.total() + 1.0 > capacity(table, record, request.size, starving)) {
-            each.note = "no free slot";
+            each.note = no_free_slot;
         }
         candidates.push_back(std::move(each));
     }
@@ -122,7 +131,8 @@
 
 const predictive_policy::candidate* predictive_policy::select(const candidate_list& candidates,
                                                               const route_request& request,
-                                                              std::string& reason)
+                                                              std::string& reason,
+                                                              std::uint32_t& near_equals)
 {
     std::vector<const candidate*> open;
     for (const auto& each : candidates) {
@@ -150,7 +160,7 @@
     std::erase_if(open, [&](const candidate* each) { return measure(each) > bound; });
     reason =
         any_meets ? "cheapest that meets the latency target" : "fastest; none meets the target";
-    reason += ", one of " + std::to_string(open.size()) + " near-equals";
+    near_equals = static_cast<std::uint32_t>(open.size());
     return open[random_below(this->random, open.size())];
 }
 
@@ -185,6 +195,7 @@
     decision.endpoint = table.at(chosen.index).info.id;
     decision.policy = "predictive";
     decision.reason = std::move(reason);
+    decision.considered = static_cast<std::uint32_t>(candidates.size());
     const auto add = [&](const candidate& each) {
         candidate_score score;
         score.endpoint = table.at(each.index).info.id;
@@ -192,6 +203,16 @@
         score.cost = each.expected.cost;
         score.cached_tokens = each.expected.cached_tokens;
         score.note = each.note;
+        score.slot_wait = each.expected.slot_wait;
+        score.token_time = each.expected.token_time;
+        score.completion = each.expected.completion;
+        score.prompt_work = each.expected.prompt_work;
+        score.meets_target = each.meets_target;
+        const auto& record = table.at(each.index);
+        score.load = record.load.total();
+        score.own = record.load.own();
+        score.slots = record.load.slots();
+        score.price_per_hour = record.price_per_hour;
         decision.candidates.push_back(std::move(score));
     };
     add(chosen);
--- a/lib/routing/predictive_policy.h
+++ b/lib/routing/predictive_policy.h
@@ -36,10 +36,11 @@
     candidate_list evaluate(service_table& table, const route_request& request);
     /// Null if no candidate is left.
     const candidate* select(const candidate_list& candidates, const route_request& request,
-                            std::string& reason);
+                            std::string& reason, std::uint32_t& near_equals);
     /// A suspected endpoint whose turn it is to be tried; null if there is none.
     const candidate* probe(service_table& table, const route_request& request,
                            candidate_list& candidates);
+    static error refuse(const service_table& table, const candidate_list& candidates);
     static route_decision describe(const service_table& table, const candidate_list& candidates,
                                    const candidate& chosen, std::string reason);
 
--- a/unittests/routing/service_router_test.cpp
+++ b/unittests/routing/service_router_test.cpp
@@ -1,83 +1,9 @@
-#include "eelgrassbend/routing/service_router.h"
-#include "eelgrassbend/support/virtual_scheduler.h"
-#include "fakes/bundle_view.h"
-#include "fakes/endpoint_directory.h"
+#include "routing_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <set>
-
 namespace eelgrassbend {
 
-static const service_id draft{"draft-llm"};
-
-static bundle make_bundle(const std::string& policy)
-{
-    service_spec spec;
-    spec.id = draft;
-    spec.routing_policy = policy;
-    spec.first_token_target = std::chrono::seconds{2};
-    spec.between_tokens_target = std::chrono::milliseconds{51};
-    spec.quick_slot_share = 0.25;
-    bundle declared;
-    declared.version = bundle_version{3};
-    declared.services.push_back(spec);
-    return declared;
-}
-
-static endpoint_info make_endpoint(const std::string& name,
-                                   endpoint_state state = endpoint_state::live)
-{
-    endpoint_info info;
-    info.id = endpoint_id{name};
-    info.service = draft;
-    info.zone = availability_zone{"arusha-a"};
-    info.type = machine_class{"small"};
-    info.state = state;
-    return info;
-}
-
-static route_request make_request()
-{
-    route_request request;
-    request.service = draft;
-    request.prompt_tokens = token_count{100};
-    request.expected_output = token_count{50};
-    return request;
-}
-
-namespace {
-
-struct routing_fixture {
-    explicit routing_fixture(const std::string& policy, int count = 4)
-        : bundles(make_bundle(policy))
-    {
-        for (int number = 0; number < count; ++number) {
-            this->directory.set(make_endpoint("e" + std::to_string(number)));
-        }
-    }
-
-    std::set<std::string> chosen(int times, const route_request& request = make_request())
-    {
-        std::set<std::string> names;
-        for (int turn = 0; turn < times; ++turn) {
-            const auto decision = this->router.choose(request);
-            if (decision) {
-                names.insert(decision.value().endpoint.value());
-            }
-        }
-        return names;
-    }
-
-    virtual_scheduler clock;
-    seeded_random random{7};
-    fakes::directory directory;
-    fakes::fixed_bundle bundles;
-    service_router router{clock, random, directory, bundles};
-};
-
-} // namespace
-
 static const std::vector<std::string> all_policies{"random", "round_robin", "least_outstanding",
                                                    "two_choices", "predictive"};
 
