Measure routing policies on the same seeded work

The policies need one measure on the same work. The experiment "routing" of eelgrassbend-bench puts one seeded list of requests (shared prefixes, conversations, heavy-tailed sizes) through engine models under virtual time, for each policy, load, number of stragglers and of entry nodes, open and closed loop.

--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <ostream>
+#include <string>
 #include <string_view>
 
 namespace eelgrassbend::bench {
@@ -10,6 +11,8 @@
 struct experiment_options {
     std::uint64_t seed = 1;
     std::uint32_t nodes = 0; ///< 0: all sizes that the experiment knows
+    std::string deployment = "kilimanjaro";
+    bool brief = false; ///< only a few of the cases
 };
 
 /// One measurement; writes its results as JSON lines.
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -11,6 +11,8 @@
 /// Each experiment has its factory in the source file of its name.
 using experiment_list = std::vector<std::unique_ptr<experiment>>;
 
+std::unique_ptr<experiment> make_routing_experiment();
+
 } // namespace eelgrassbend::bench
 
 #endif
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -8,12 +8,16 @@
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of all random numbers");
 ABSL_FLAG(std::uint32_t, nodes, 0, "number of nodes; 0 runs all sizes of the experiment");
+ABSL_FLAG(std::string, deployment, "kilimanjaro", "kilimanjaro or magnolia; routing only");
+ABSL_FLAG(bool, brief, false, "run only a few of the cases");
 
 namespace eelgrassbend::bench {
 
 static experiment_list make_experiments()
 {
-    return {};
+    experiment_list known;
+    known.push_back(make_routing_experiment());
+    return known;
 }
 
 static int list(const experiment_list& experiments)
@@ -31,7 +35,8 @@
     if (arguments.size() != 2) {
         return list(experiments);
     }
-    const experiment_options options{absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_nodes)};
+    const experiment_options options{absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_nodes),
+                                     absl::GetFlag(FLAGS_deployment), absl::GetFlag(FLAGS_brief)};
     for (const auto& known : experiments) {
         if (known->name() == arguments[1]) {
             return known->run(options, std::cout);
