--- a/bench/load_experiment.cpp
+++ b/bench/load_experiment.cpp
@@ -321,7 +321,7 @@
 
 } // namespace
 
-std::unique_ptr<experiment> make_load()
+std::unique_ptr<experiment> make_load_experiment()
 {
     return std::make_unique<load_experiment>();
 }
--- a/unittests/net/asio_endpoint_client_test.cpp
+++ b/unittests/net/asio_endpoint_client_test.cpp
@@ -40,6 +40,7 @@
             link->silent = true;
         }
     }
+
     void close_after_answer() { this->closing = true; }
 
     int accepted = 0;
@@ -47,6 +48,7 @@
 private:
     struct link {
         explicit link(tcp::socket socket) : socket(std::move(socket)) {}
+
         tcp::socket socket;
         std::string input;
         std::string output;
@@ -68,23 +70,23 @@
 
     void serve(const std::shared_ptr<link>& open)
     {
-        asio::async_read_until(
-            open->socket, asio::dynamic_buffer(open->input), "\r\n\r\n",
-            [this, open](boost::system::error_code failure, std::size_t length) {
-                if (failure || open->silent) {
-                    return;
-                }
-                open->output = this->answer(open->input.substr(0, length));
-                open->input.erase(0, length);
-                asio::async_write(open->socket, asio::buffer(open->output),
-                                  [this, open](boost::system::error_code, std::size_t) {
-                                      if (this->closing) {
-                                          open->socket.close();
-                                          return;
-                                      }
-                                      this->serve(open);
-                                  });
-            });
+        asio::async_read_until(open->socket, asio::dynamic_buffer(open->input), "\r\n\r\n",
+                               [this, open](boost::system::error_code failure, std::size_t length) {
+                                   if (failure || open->silent) {
+                                       return;
+                                   }
+                                   open->output = this->answer(open->input.substr(0, length));
+                                   open->input.erase(0, length);
+                                   asio::async_write(
+                                       open->socket, asio::buffer(open->output),
+                                       [this, open](boost::system::error_code, std::size_t) {
+                                           if (this->closing) {
+                                               open->socket.close();
+                                               return;
+                                           }
+                                           this->serve(open);
+                                       });
+                               });
     }
 
     tcp::acceptor acceptor;
@@ -96,13 +98,17 @@
 class recording_observer : public attempt_observer {
 public:
     void head(int answered, const header_list&) override { this->status = answered; }
+
     void body(std::string_view bytes) override { this->text += bytes; }
+
     void completed() override { this->whole = true; }
+
     void failed(const error& reason, dispatch_state state) override
     {
         this->failure = reason;
         this->dispatched = state;
     }
+
     [[nodiscard]] bool ended() const { return this->whole || this->failure.has_value(); }
 
     int status = 0;
@@ -211,9 +217,8 @@
 
 BOOST_FIXTURE_TEST_CASE(a_crossed_answer_is_refused_before_its_body, client_fixture)
 {
-    scripted_server server{this->context, [](const std::string&) {
-                               return answer_for("somebody/1", "secret", 6);
-                           }};
+    scripted_server server{
+        this->context, [](const std::string&) { return answer_for("somebody/1", "secret", 6); }};
     recording_observer observer;
     this->run(server.address(), this->request("r/1"), observer);
     BOOST_TEST((observer.failure->code == errc::mismatched));
@@ -260,8 +265,7 @@
     scripted_server server{this->context, echo};
     recording_observer observer;
     {
-        const auto handle =
-            this->client.dispatch(server.address(), this->request("r/1"), observer);
+        const auto handle = this->client.dispatch(server.address(), this->request("r/1"), observer);
     }
     run_until(this->context, [] { return false; }, std::chrono::milliseconds{100});
     BOOST_TEST(!observer.ended());
--- a/unittests/net/http_server_test.cpp
+++ b/unittests/net/http_server_test.cpp
@@ -38,8 +38,7 @@
 
     bool wait_for_requests(std::size_t count)
     {
-        return run_until(this->context,
-                         [&] { return this->handler.requests.size() >= count; });
+        return run_until(this->context, [&] { return this->handler.requests.size() >= count; });
     }
 
     boost::asio::io_context context{1};
@@ -61,9 +60,10 @@
     BOOST_TEST(this->handler.requests[0].path() == "/x");
     BOOST_TEST(this->handler.requests[0].query("a") == "b c");
     bool delivered = false;
-    this->handler.answers[0]->respond(200, {}, "hello",
-                                      [&](const result<void>& done) { delivered = done.has_value(); });
-    const auto text = client.receive([](const std::string& seen) { return seen.ends_with("hello"); });
+    this->handler.answers[0]->respond(
+        200, {}, "hello", [&](const result<void>& done) { delivered = done.has_value(); });
+    const auto text =
+        client.receive([](const std::string& seen) { return seen.ends_with("hello"); });
     BOOST_TEST(text.starts_with("HTTP/1.1 200 OK"));
     BOOST_TEST(run_until(this->context, [&] { return delivered; }));
     BOOST_TEST(this->server->active() == 0);
--- a/unittests/net/loopback.h
+++ b/unittests/net/loopback.h
@@ -71,17 +71,16 @@
         if (std::exchange(this->reading, true)) {
             return;
         }
-        this->socket.async_read_some(
-            boost::asio::buffer(this->piece),
-            [this](boost::system::error_code failure, std::size_t length) {
-                this->reading = false;
-                if (failure) {
-                    this->ended = true;
-                    return;
-                }
-                this->received.append(this->piece.data(), length);
-                this->read_more();
-            });
+        this->socket.async_read_some(boost::asio::buffer(this->piece),
+                                     [this](boost::system::error_code failure, std::size_t length) {
+                                         this->reading = false;
+                                         if (failure) {
+                                             this->ended = true;
+                                             return;
+                                         }
+                                         this->received.append(this->piece.data(), length);
+                                         this->read_more();
+                                     });
     }
 
     boost::asio::io_context& context;
