Follow the claim service's and the router's wider interfaces in the flows

Cause: a grant now allows one dispatch, and the router gives the time after which a refused request is worth another try.

--- a/include/eelgrassbend/serving/plain_flow.h
+++ b/include/eelgrassbend/serving/plain_flow.h
@@ -23,6 +23,7 @@
     endpoint_request next_attempt() override;
     [[nodiscard]] route_request describe() const override;
     result<void> may_dispatch() override;
+    void attempt_not_sent() override;
     result<void> answer_complete() override;
 
     [[nodiscard]] bool repeatable() const override { return this->can_repeat; }
--- a/include/eelgrassbend/serving/request_flow.h
+++ b/include/eelgrassbend/serving/request_flow.h
@@ -53,6 +53,8 @@
     /// Asked right before an attempt is sent; an error ends the request.
     virtual result<void> may_dispatch() { return boost::outcome_v2::success(); }
 
+    /// The attempt failed before a byte of it was sent.
+    virtual void attempt_not_sent() {}
     /// The attempt's answer is whole as HTTP; answers an error if its content is not.
     virtual result<void> answer_complete() = 0;
     /// Whether the request may be sent again after an attempt that may have run.
--- a/include/eelgrassbend/settings/entry_settings.h
+++ b/include/eelgrassbend/settings/entry_settings.h
@@ -13,7 +13,7 @@
 namespace eelgrassbend {
 
 /// A key that entry nodes share to authenticate each other.
-struct peer_key {
+struct peer_secret {
     std::uint32_t id = 0;
     std::string secret; ///< at least 16 bytes
 };
@@ -28,7 +28,7 @@
     network_address datagrams; ///< membership and rumours, UDP
     network_address platform;
     std::vector<operator_key> trusted_operators;
-    std::vector<peer_key> peer_keys; ///< the first one signs, all are accepted
+    std::vector<peer_secret> peer_keys; ///< the first one signs, all are accepted
 
     duration entries_time_to_live = std::chrono::seconds{2};
     duration endpoint_poll_interval = std::chrono::milliseconds{250};
--- a/lib/serving/plain_flow.cpp
+++ b/lib/serving/plain_flow.cpp
@@ -107,6 +107,13 @@
                       "the claim is too old to use");
 }
 
+void plain_flow::attempt_not_sent()
+{
+    if (this->granted) {
+        this->services.claims.not_dispatched(this->admitted.id);
+    }
+}
+
 /// Headers of the caller that mean something to the service.
 static bool is_forwarded(const std::string& name)
 {
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -81,7 +81,7 @@
 {
     if (!this->dispatched_once) {
         this->refuse_request(reason, request_outcome::not_run,
-                             this->services.settings.refusal_retry_after);
+                             this->services.routes.retry_after(this->admitted.service->id));
         return;
     }
     auto self = this->shared_from_this();
@@ -176,6 +176,9 @@
     const bool began_before = this->may_have_begun;
     this->cancel_attempt(attempt_end::failed);
     this->may_have_begun = began_before || dispatched == dispatch_state::maybe_sent;
+    if (dispatched == dispatch_state::not_sent) {
+        this->attempt_not_sent();
+    }
     this->services.log.write(log_level::warning, "attempt_failed",
                              {{"request", this->admitted.id.value()},
                               {"attempt", this->attempt.value()},
--- a/lib/settings/entry_settings.cpp
+++ b/lib/settings/entry_settings.cpp
@@ -70,12 +70,12 @@
     return operators;
 }
 
-static std::vector<peer_key> read_peer_keys(toml_reader& peers)
+static std::vector<peer_secret> read_peer_keys(toml_reader& peers)
 {
     constexpr std::int64_t highest_id = 65'535;
-    std::vector<peer_key> keys;
+    std::vector<peer_secret> keys;
     for (auto& entry : peers.tables("keys")) {
-        peer_key key{static_cast<std::uint32_t>(entry.integer("id", 0, highest_id)),
+        peer_secret key{static_cast<std::uint32_t>(entry.integer("id", 0, highest_id)),
                      entry.text("secret")};
         if (key.secret.size() < shortest_secret_bytes) {
             entry.reject("secret", "must have at least 16 bytes");
--- a/unittests/serving/model_flow_test.cpp
+++ b/unittests/serving/model_flow_test.cpp
@@ -220,7 +220,7 @@
     const auto answer = this->send("POST", "/v1/chat/completions", streamed);
     BOOST_TEST(answer->status == 503);
     BOOST_TEST(answer->header("Eelgrassbend-Outcome") == "not-run");
-    BOOST_TEST(answer->header("Retry-After") == "1");
+    BOOST_TEST(answer->header("Retry-After") == "3");
     BOOST_TEST(this->limits.open.empty());
     BOOST_TEST(this->bills.intended.empty());
 }
--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -151,6 +151,11 @@
     {
         this->open.erase(attempt.value());
     }
+    void used(const attempt_id&, token_count, token_count) override {}
+    [[nodiscard]] duration retry_after(const service_id&) const override
+    {
+        return std::chrono::seconds{3};
+    }
 
     void report_load(const endpoint_id&, const load_report&) override {}
 
@@ -208,7 +213,11 @@
         handler(this->answer);
     }
 
-    bool dispatch_allowed(const request_id&) override { return this->allowed; }
+    bool dispatch_allowed(const request_id&) override
+    {
+        return std::exchange(this->allowed, false);
+    }
+    void not_dispatched(const request_id&) override { this->allowed = true; }
 
     void release(const request_id&, done_handler) override { ++this->released; }
 
