--- a/cmake/components.cmake
+++ b/cmake/components.cmake
@@ -6,7 +6,7 @@
 target_include_directories(eelgrassbend_options SYSTEM INTERFACE ${PROJECT_SOURCE_DIR}/generated)
 target_compile_definitions(eelgrassbend_options INTERFACE
   BOOST_ASIO_HAS_CO_AWAIT=1 BOOST_ASIO_HAS_STD_COROUTINE=1 BOOST_ALL_NO_LIB=1)
-target_compile_options(eelgrassbend_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wshadow=local -Wno-psabi)
+target_compile_options(eelgrassbend_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wshadow=local -Wno-missing-field-initializers -Wno-psabi)
 if(EELGRASSBEND_SANITIZE)
   target_compile_options(eelgrassbend_options INTERFACE
     -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
--- a/include/eelgrassbend/serving/front.h
+++ b/include/eelgrassbend/serving/front.h
@@ -5,6 +5,7 @@
 #include "eelgrassbend/serving/exchange.h"
 #include "eelgrassbend/serving/request_flow.h"
 #include "eelgrassbend/serving/services.h"
+#include "eelgrassbend/serving/stream_state.h"
 
 #include <functional>
 #include <memory>
@@ -17,8 +18,10 @@
 class node_status {
 public:
     virtual ~node_status() = default;
-    /// Empty if the node takes new work, else why it does not.
-    [[nodiscard]] virtual std::string not_ready_reason() const = 0;
+    /// Empty if the node can serve requests, else why it cannot.
+    [[nodiscard]] virtual std::string cannot_serve_reason() const = 0;
+    /// Whether a planned stop has begun: the node still serves, but should get no new callers.
+    [[nodiscard]] virtual bool stopping() const = 0;
     [[nodiscard]] virtual std::string metrics_text() const = 0;
     /// A JSON object.
     [[nodiscard]] virtual std::string status_json() const = 0;
@@ -34,6 +37,11 @@
     /// To be called for every change of an endpoint.
     void endpoint_changed(const endpoint_info& changed);
 
+    /// Gives up a stream that is being served here, for another node to go on with.
+    stream_fetch_answer give_up_stream(const request_id& request);
+    /// Hands all streams to peers; their callers come back elsewhere.
+    void hand_over_streams();
+
     /// Requests under way.
     [[nodiscard]] std::size_t active() const { return this->flows.size(); }
 
@@ -42,6 +50,10 @@
     void answer_ready(exchange& answer) const;
     void serve_completion(completion_kind kind, http_request request,
                           std::shared_ptr<exchange> answer);
+    void resume_stream(admitted_request admitted, completion_request completion,
+                       const event_position& last_seen);
+    void stream_found(admitted_request admitted, completion_request completion,
+                      const event_position& last_seen, result<stream_state> found);
     void serve_plain(http_request request, std::shared_ptr<exchange> answer);
     /// Who asks; error if the key is wrong or the view too old.
     result<admitted_request> authenticate(http_request request,
--- a/include/eelgrassbend/serving/model_flow.h
+++ b/include/eelgrassbend/serving/model_flow.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/serving/completion_codec.h"
 #include "eelgrassbend/serving/request_flow.h"
 #include "eelgrassbend/serving/sse.h"
+#include "eelgrassbend/serving/stream_state.h"
 
 #include <cstdint>
 #include <string>
@@ -27,6 +28,13 @@
                completion_request completion, size_estimate estimate, ended_handler on_ended);
 
     void begin() override;
+    /// Goes on with a stream of which the caller has `seen` events. To be called in place of
+    /// `begin`; the flow must have been made under the state's request id.
+    void resume(stream_state state, std::uint64_t seen);
+    /// Whether the stream can go on in another flow.
+    [[nodiscard]] bool can_suspend() const;
+    /// Ends this flow without an end towards the caller; another flow can go on from the answer.
+    stream_state suspend();
     void head(int status, const header_list& headers) override;
     void body(std::string_view bytes) override;
 
@@ -37,11 +45,17 @@
 
     [[nodiscard]] bool repeatable() const override { return true; }
 
+    void undelivered() override;
+
     void give_up(const refusal& refused) override;
 
 private:
     void handle_event(const std::string& data);
     void emit(const std::string& text);
+    void send_token(std::size_t index);
+    void watch_caller();
+    [[nodiscard]] stream_state state() const;
+    void bill_whole_answer();
     void start_stream();
     void content_failed(errc code, const std::string& detail);
     void deliver(exchange::delivered_handler delivered);
@@ -49,6 +63,7 @@
     completion_request completion;
     size_estimate estimate;
     emitted_answer emitted;
+    std::vector<std::uint32_t> token_ends; ///< of each token in `emitted.text`
     sse_parser events;
     std::string finish_reason;
     token_usage usage;
--- a/include/eelgrassbend/serving/request_flow.h
+++ b/include/eelgrassbend/serving/request_flow.h
@@ -55,6 +55,7 @@
 
     /// The attempt failed before a byte of it was sent.
     virtual void attempt_not_sent() {}
+
     /// The attempt's answer is whole as HTTP; answers an error if its content is not.
     virtual result<void> answer_complete() = 0;
     /// Whether the request may be sent again after an attempt that may have run.
@@ -66,6 +67,9 @@
     /// Ends the exchange without success.
     virtual void give_up(const refusal& refused);
 
+    /// The answer was whole, but the caller did not get all of it.
+    virtual void undelivered() {}
+
     /// The flow ends; called once.
     virtual void closing() {}
 
@@ -79,6 +83,13 @@
     /// Keeps the line, lets `send` deliver the last bytes, and confirms or cancels the line.
     void bill_and_deliver(ledger_line line, std::function<void(exchange::delivered_handler)> send);
     void note_progress(token_count total);
+    /// Goes on with a request that another flow began: `used` attempt numbers are taken.
+    void continue_from(int used, wall_time accepted);
+
+    [[nodiscard]] int attempts_made() const { return this->attempts; }
+
+    [[nodiscard]] bool is_delivering() const { return this->delivering; }
+
     void close(const char* result);
     [[nodiscard]] ledger_line make_line(token_count prompt, token_count output,
                                         std::string digest) const;
--- a/include/eelgrassbend/serving/services.h
+++ b/include/eelgrassbend/serving/services.h
@@ -19,6 +19,7 @@
 class random_source;
 class router;
 class scheduler;
+class stream_store;
 
 struct serving_settings {
     node_id node;
@@ -43,6 +44,7 @@
     endpoint_client& client;
     claim_service& claims;
     ledger& bills;
+    stream_store& streams;
 };
 
 } // namespace eelgrassbend
--- a/lib/serving/front.cpp
+++ b/lib/serving/front.cpp
@@ -6,6 +6,7 @@
 #include "eelgrassbend/routing/limiter.h"
 #include "eelgrassbend/serving/model_flow.h"
 #include "eelgrassbend/serving/plain_flow.h"
+#include "eelgrassbend/serving/stream_store.h"
 #include "eelgrassbend/support/hash.h"
 #include "eelgrassbend/support/uuid.h"
 
@@ -81,7 +82,13 @@
 
 void front::answer_ready(exchange& answer) const
 {
-    const auto reason = this->status.not_ready_reason();
+    auto reason = this->status.cannot_serve_reason();
+    if (reason.empty() && this->status.stopping()) {
+        reason = "stopping";
+    }
+    if (reason.empty() && !this->services.bundles.fresh()) {
+        reason = "the view of the bundle is too old";
+    }
     if (reason.empty()) {
         respond_text(answer, status_ok, "text/plain", "ready\n");
         return;
@@ -116,7 +123,7 @@
 result<admitted_request> front::authenticate(http_request request,
                                              std::shared_ptr<exchange> answer) const
 {
-    if (const auto reason = this->status.not_ready_reason(); !reason.empty()) {
+    if (const auto reason = this->status.cannot_serve_reason(); !reason.empty()) {
         return make_error(errc::unavailable, "accept request", this->services.settings.node.value(),
                           reason);
     }
@@ -219,6 +226,17 @@
         refuse(*answer, not_run(allowed.error()));
         return;
     }
+    if (const auto last_event = wanted.http.header("Last-Event-ID"); !last_event.empty()) {
+        const auto position = parse_event_id(last_event);
+        if (!position || !parsed.value().stream) {
+            refuse(*answer, not_run(make_error(errc::invalid_argument, "resume stream", {},
+                                               "Last-Event-ID must be the id of an event of a "
+                                               "streamed answer, and 'stream' must be set")));
+            return;
+        }
+        this->resume_stream(std::move(wanted), std::move(parsed.value()), *position);
+        return;
+    }
     auto estimate = estimate_size(parsed.value(), wanted.http.header("Eelgrassbend-Class"));
     const auto expected =
         price_of(wanted.service->prices, estimate.prompt_tokens, estimate.expected_output);
@@ -232,6 +250,86 @@
               id);
 }
 
+void front::resume_stream(admitted_request admitted, completion_request completion,
+                          const event_position& last_seen)
+{
+    admitted.id = last_seen.request;
+    const auto shared = std::make_shared<admitted_request>(std::move(admitted));
+    this->services.streams.find(last_seen.request, [this, shared,
+                                                    completion = std::move(completion),
+                                                    last_seen](result<stream_state> found) mutable {
+        this->stream_found(std::move(*shared), std::move(completion), last_seen, std::move(found));
+    });
+}
+
+/// Whether the caller asks for the stream that it began.
+static bool is_same_stream(const stream_state& state, const admitted_request& admitted,
+                           const completion_request& completion, std::uint64_t seen)
+{
+    return state.organisation == admitted.organisation->id &&
+           state.service == admitted.service->id &&
+           state.body_digest == sha256_hex(completion.body) && seen <= state.token_ends.size();
+}
+
+void front::stream_found(admitted_request admitted, completion_request completion,
+                         const event_position& last_seen, result<stream_state> found)
+{
+    const auto refuse_unknown = [&](error reason) {
+        const auto status = status_for(reason);
+        refuse(*admitted.answer, {status, request_outcome::unknown, std::move(reason),
+                                  this->services.settings.refusal_retry_after});
+    };
+    if (!found) {
+        refuse_unknown(found.error());
+        return;
+    }
+    if (!is_same_stream(found.value(), admitted, completion, last_seen.number)) {
+        this->services.streams.keep(std::move(found.value()));
+        refuse_unknown(make_error(errc::not_found, "resume stream", last_seen.request.value(),
+                                  "the stream belongs to another request"));
+        return;
+    }
+    if (!this->admit(admitted, money{0})) {
+        this->services.streams.keep(std::move(found.value()));
+        return;
+    }
+    this->services.log.write(log_level::info, "resume_stream",
+                             {{"request", admitted.id.value()},
+                              {"seen", last_seen.number},
+                              {"emitted", found.value().token_ends.size()}});
+    auto estimate = estimate_size(completion, admitted.http.header("Eelgrassbend-Class"));
+    const auto id = admitted.id;
+    auto flow =
+        std::make_shared<model_flow>(this->services, std::move(admitted), std::move(completion),
+                                     std::move(estimate), this->when_ended());
+    this->flows.emplace(id.value(), flow);
+    flow->resume(std::move(found.value()), last_seen.number);
+}
+
+stream_fetch_answer front::give_up_stream(const request_id& request)
+{
+    const auto found = this->flows.find(request.value());
+    if (found == this->flows.end()) {
+        return {};
+    }
+    const auto flow = std::dynamic_pointer_cast<model_flow>(found->second);
+    if (!flow || !flow->can_suspend()) {
+        return {stream_fetch_result::busy, {}};
+    }
+    return {stream_fetch_result::found, flow->suspend()};
+}
+
+void front::hand_over_streams()
+{
+    const auto copy = this->flows;
+    for (const auto& [id, running] : copy) {
+        const auto flow = std::dynamic_pointer_cast<model_flow>(running);
+        if (flow && flow->can_suspend()) {
+            this->services.streams.hand_over(flow->suspend());
+        }
+    }
+}
+
 /// Splits "/services/<name>/<rest>"; the rest keeps its leading slash and query.
 static std::pair<std::string, std::string> split_target(const std::string& target)
 {
--- a/lib/serving/model_flow.cpp
+++ b/lib/serving/model_flow.cpp
@@ -1,5 +1,6 @@
 #include "eelgrassbend/serving/model_flow.h"
 
+#include "eelgrassbend/serving/stream_store.h"
 #include "eelgrassbend/support/hash.h"
 
 #include <nlohmann/json.hpp>
@@ -53,13 +54,90 @@
 void model_flow::begin()
 {
     this->arm_deadline();
+    this->watch_caller();
+    this->attempt_now();
+}
+
+// The caller of a stream may come back for the rest, here or at another entry node.
+void model_flow::watch_caller()
+{
     std::weak_ptr<request_flow> weak = this->weak_from_this();
     this->admitted.answer->on_gone([weak] {
-        if (const auto self = std::static_pointer_cast<model_flow>(weak.lock())) {
-            self->close("gone");
+        const auto self = std::static_pointer_cast<model_flow>(weak.lock());
+        if (!self) {
+            return;
         }
+        if (self->can_suspend()) {
+            self->services.streams.keep(self->suspend());
+            return;
+        }
+        self->close("gone");
     });
-    this->attempt_now();
+}
+
+bool model_flow::can_suspend() const
+{
+    return this->completion.stream && this->is_open() && !this->is_delivering();
+}
+
+stream_state model_flow::state() const
+{
+    stream_state state;
+    state.request = this->admitted.id;
+    state.organisation = this->admitted.organisation->id;
+    state.service = this->admitted.service->id;
+    state.body_digest = sha256_hex(this->completion.body);
+    state.text = this->emitted.text;
+    state.token_ends = this->token_ends;
+    state.attempts = static_cast<std::uint32_t>(this->attempts_made());
+    state.accepted_at = this->accepted_wall;
+    state.version = this->admitted.rules->version;
+    return state;
+}
+
+stream_state model_flow::suspend()
+{
+    auto suspended = this->state();
+    auto self = this->shared_from_this();
+    this->close("suspended");
+    this->admitted.answer->abort();
+    return suspended;
+}
+
+void model_flow::undelivered()
+{
+    if (!this->completion.stream) {
+        return;
+    }
+    auto whole = this->state();
+    whole.finish_reason = this->finish_reason;
+    whole.prompt_tokens = token_count{this->usage.prompt_tokens};
+    whole.cached_tokens = token_count{this->usage.cached_tokens};
+    whole.attempt = this->attempt;
+    whole.endpoint = this->target.id;
+    this->services.streams.keep(std::move(whole));
+}
+
+void model_flow::resume(stream_state state, std::uint64_t seen)
+{
+    this->arm_deadline();
+    this->continue_from(static_cast<int>(state.attempts), state.accepted_at);
+    this->emitted = {std::move(state.text), static_cast<std::int64_t>(state.token_ends.size())};
+    this->token_ends = std::move(state.token_ends);
+    this->watch_caller();
+    this->start_stream();
+    for (auto index = static_cast<std::size_t>(seen); index < this->token_ends.size(); ++index) {
+        this->send_token(index);
+    }
+    if (state.finish_reason.empty()) {
+        this->attempt_now();
+        return;
+    }
+    this->finish_reason = state.finish_reason;
+    this->usage = {state.prompt_tokens.value(), this->emitted.tokens, state.cached_tokens.value()};
+    this->attempt = state.attempt;
+    this->target.id = state.endpoint;
+    this->bill_whole_answer();
 }
 
 route_request model_flow::describe() const
@@ -178,15 +256,23 @@
 {
     this->emitted.text += text;
     ++this->emitted.tokens;
+    this->token_ends.push_back(static_cast<std::uint32_t>(this->emitted.text.size()));
     this->note_progress(token_count{this->emitted.tokens});
     if (!this->completion.stream) {
         return;
     }
     this->start_stream();
+    this->send_token(this->token_ends.size() - 1);
+}
+
+void model_flow::send_token(std::size_t index)
+{
+    const std::size_t begin = index == 0 ? 0 : this->token_ends[index - 1];
+    const auto text = this->emitted.text.substr(begin, this->token_ends[index] - begin);
     const auto chunk =
         token_chunk(this->completion.kind, this->admitted.id, this->completion.model, text);
-    this->admitted.answer->send(
-        format_sse(event_id(this->admitted.id, this->emitted.tokens), chunk));
+    const auto number = static_cast<std::int64_t>(index) + 1;
+    this->admitted.answer->send(format_sse(event_id(this->admitted.id, number), chunk));
 }
 
 void model_flow::content_failed(errc code, const std::string& detail)
@@ -206,13 +292,18 @@
     if (this->usage.completion_tokens != this->emitted.tokens) {
         return incomplete("tokens are missing");
     }
+    this->bill_whole_answer();
+    return boost::outcome_v2::success();
+}
+
+void model_flow::bill_whole_answer()
+{
     auto line = this->make_line(token_count{this->usage.prompt_tokens},
                                 token_count{this->emitted.tokens}, sha256_hex(this->emitted.text));
     auto self = std::static_pointer_cast<model_flow>(this->shared_from_this());
     this->bill_and_deliver(std::move(line), [self](exchange::delivered_handler delivered) {
         self->deliver(std::move(delivered));
     });
-    return boost::outcome_v2::success();
 }
 
 void model_flow::deliver(exchange::delivered_handler delivered)
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -292,6 +292,12 @@
     }
 }
 
+void request_flow::continue_from(int used, wall_time accepted)
+{
+    this->attempts = used;
+    this->accepted_wall = accepted;
+}
+
 ledger_line request_flow::make_line(token_count prompt, token_count output,
                                     std::string digest) const
 {
@@ -338,6 +344,9 @@
             else if (billable) {
                 self->services.bills.cancel(self->admitted.id);
             }
+            if (!delivered && self->open) {
+                self->undelivered();
+            }
             self->close(delivered ? "ran" : "undelivered");
         });
     });
--- a/lib/settings/entry_settings.cpp
+++ b/lib/settings/entry_settings.cpp
@@ -76,7 +76,7 @@
     std::vector<peer_secret> keys;
     for (auto& entry : peers.tables("keys")) {
         peer_secret key{static_cast<std::uint32_t>(entry.integer("id", 0, highest_id)),
-                     entry.text("secret")};
+                        entry.text("secret")};
         if (key.secret.size() < shortest_secret_bytes) {
             entry.reject("secret", "must have at least 16 bytes");
         }
--- a/unittests/serving/front_test.cpp
+++ b/unittests/serving/front_test.cpp
@@ -80,6 +80,14 @@
     BOOST_TEST(answer->header("Eelgrassbend-Outcome") == "not-run");
 }
 
+BOOST_FIXTURE_TEST_CASE(a_node_that_stops_is_not_ready_but_serves_on, serving_fixture)
+{
+    this->status.is_stopping = true;
+    BOOST_TEST(this->send("GET", "/readyz", "")->status == 503);
+    this->send("POST", "/v1/chat/completions", chat);
+    BOOST_TEST(this->client.attempts.size() == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_order_is_claimed_run_recorded_and_billed, plain_fixture)
 {
     const auto answer = this->order();
--- a/unittests/serving/model_flow_test.cpp
+++ b/unittests/serving/model_flow_test.cpp
@@ -1,3 +1,4 @@
+#include "engine_script.h"
 #include "serving_fakes.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,91 +13,6 @@
 static const std::string whole =
     R"({"model":"draft","max_tokens":50,"messages":[{"role":"user","content":"lay out a badge"}]})";
 
-/// Plays an engine towards the flow.
-class engine_script {
-public:
-    explicit engine_script(fake_endpoint_client::sent_attempt& attempt) : attempt(attempt) {}
-
-    engine_script& head()
-    {
-        this->attempt.observer->head(200, {});
-        return *this;
-    }
-
-    engine_script& token(const std::string& text)
-    {
-        return this->token_of(this->attempt.request.attempt.value(), text);
-    }
-
-    engine_script& token_of(const std::string& id, const std::string& text)
-    {
-        return this->raw("data: {\"id\":\"" + id +
-                         "\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text +
-                         "\"},\"finish_reason\":null}]}\n\n");
-    }
-
-    engine_script& last(int tokens)
-    {
-        return this->raw("data: {\"id\":\"" + this->attempt.request.attempt.value() +
-                         "\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],"
-                         "\"usage\":{\"prompt_tokens\":100,\"completion_tokens\":" +
-                         std::to_string(tokens) + ",\"cached_tokens\":0}}\n\ndata: [DONE]\n\n");
-    }
-
-    engine_script& raw(const std::string& bytes)
-    {
-        if (this->attempt.observer != nullptr) {
-            this->attempt.observer->body(bytes);
-        }
-        return *this;
-    }
-
-    void complete()
-    {
-        if (this->attempt.observer != nullptr) {
-            this->attempt.observer->completed();
-        }
-    }
-
-    void fail(dispatch_state dispatched)
-    {
-        this->attempt.observer->failed(make_error(errc::unavailable, "call endpoint", "e1"),
-                                       dispatched);
-    }
-
-private:
-    fake_endpoint_client::sent_attempt& attempt;
-};
-
-/// The text of a stream and whether its event ids count up from 1.
-struct read_stream {
-    explicit read_stream(const std::string& body)
-    {
-        std::size_t position = 0;
-        std::int64_t expected = 1;
-        while (position < body.size()) {
-            const auto end = body.find("\n\n", position);
-            const auto event = body.substr(position, end - position);
-            position = end + 2;
-            const auto data = event.find("data: ");
-            const auto content = event.substr(data + 6);
-            if (content == "[DONE]") {
-                this->done = true;
-                continue;
-            }
-            const auto id = event.substr(4, event.find('\n') - 4);
-            this->ids_in_order =
-                this->ids_in_order && id.ends_with(":" + std::to_string(expected++));
-            const auto json = nlohmann::json::parse(content);
-            this->text += json["choices"][0]["delta"].value("content", "");
-        }
-    }
-
-    std::string text;
-    bool ids_in_order = true;
-    bool done = false;
-};
-
 BOOST_FIXTURE_TEST_CASE(a_streamed_answer_is_billed_once_it_is_delivered, serving_fixture)
 {
     const auto answer = this->send("POST", "/v1/chat/completions", streamed);
--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -12,11 +12,14 @@
 #include "eelgrassbend/routing/router.h"
 #include "eelgrassbend/serving/exchange.h"
 #include "eelgrassbend/serving/front.h"
+#include "eelgrassbend/serving/stream_store.h"
 #include "eelgrassbend/support/hash.h"
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/virtual_scheduler.h"
 
 #include "fakes/fake_event_log.h"
+#include "fakes/fake_membership.h"
+#include "fakes/fake_peer_rpc.h"
 
 #include <algorithm>
 #include <map>
@@ -151,7 +154,9 @@
     {
         this->open.erase(attempt.value());
     }
+
     void used(const attempt_id&, token_count, token_count) override {}
+
     [[nodiscard]] duration retry_after(const service_id&) const override
     {
         return std::chrono::seconds{3};
@@ -217,6 +222,7 @@
     {
         return std::exchange(this->allowed, false);
     }
+
     void not_dispatched(const request_id&) override { this->allowed = true; }
 
     void release(const request_id&, done_handler) override { ++this->released; }
@@ -288,13 +294,16 @@
 
 class fake_status : public node_status {
 public:
-    [[nodiscard]] std::string not_ready_reason() const override { return this->reason; }
+    [[nodiscard]] std::string cannot_serve_reason() const override { return this->reason; }
+
+    [[nodiscard]] bool stopping() const override { return this->is_stopping; }
 
     [[nodiscard]] std::string metrics_text() const override { return "metrics\n"; }
 
     [[nodiscard]] std::string status_json() const override { return "{}\n"; }
 
     std::string reason;
+    bool is_stopping = false;
 };
 
 class fake_entries : public entry_directory {
@@ -329,6 +338,9 @@
         venue.id = organisation_id{"venue"};
         venue.key_sha256 = sha256_hex("key-2");
         venue.services = {desk.id};
+        this->streams.start();
+        this->streams.on_running(
+            [this](const request_id& request) { return this->door.give_up_stream(request); });
         this->bundles.rules->version = bundle_version{1};
         this->bundles.rules->services = {draft, desk};
         this->bundles.rules->organisations = {lodge, venue};
@@ -363,11 +375,15 @@
     fake_endpoint_client client;
     fake_claims claims;
     fake_ledger bills;
+    fake_peer_network network{time, random};
+    fake_peer_rpc peers{network, time, {"127.0.0.1", 7001}};
+    fake_membership members{{node_id{"entry-1"}}};
+    stream_store streams{time, peers, members, {}};
     fake_entries entries;
     fake_status status;
     serving_settings settings{node_id{"entry-1"}};
-    serving_services services{settings, time,   random,    log,    counters, bundles,
-                              limits,   routes, endpoints, client, claims,   bills};
+    serving_services services{settings, time,      random, log,    counters, bundles, limits,
+                              routes,   endpoints, client, claims, bills,    streams};
     front door{services, entries, status};
     std::shared_ptr<fake_exchange> last;
 };
