--- a/lib/engine_model/reports.h
+++ b/lib/engine_model/cache_event_log.h
@@ -1,7 +1,6 @@
-#ifndef EELGRASSBEND_LIB_ENGINE_MODEL_REPORTS_H
-#define EELGRASSBEND_LIB_ENGINE_MODEL_REPORTS_H
+#ifndef EELGRASSBEND_LIB_ENGINE_MODEL_CACHE_EVENT_LOG_H
+#define EELGRASSBEND_LIB_ENGINE_MODEL_CACHE_EVENT_LOG_H
 
-#include "eelgrassbend/endpoints/load_report.h"
 #include "eelgrassbend/engine_model/engine_model.h"
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/units.h"
@@ -13,25 +12,6 @@
 
 namespace eelgrassbend {
 
-/// Remembers the load of the near past.
-class load_history {
-public:
-    load_history(duration span, monotonic_time now, const load_report& first);
-
-    void record(monotonic_time now, const load_report& report);
-    /// The load that held at `time`, or the earliest one known.
-    [[nodiscard]] const load_report& at(monotonic_time time) const;
-
-private:
-    struct sample {
-        monotonic_time since;
-        load_report report;
-    };
-
-    duration span;
-    std::deque<sample> samples;
-};
-
 /// Numbers cache events, loses some and shows the others late.
 class cache_event_log {
 public:
--- a/lib/engine_model/implementation.h
+++ b/lib/engine_model/implementation.h
@@ -1,10 +1,11 @@
 #ifndef EELGRASSBEND_LIB_ENGINE_MODEL_IMPLEMENTATION_H
 #define EELGRASSBEND_LIB_ENGINE_MODEL_IMPLEMENTATION_H
 
+#include "cache_event_log.h"
 #include "prefix_cache.h"
-#include "reports.h"
 
 #include "eelgrassbend/engine_model/engine_model.h"
+#include "eelgrassbend/engine_model/load_history.h"
 
 #include <compare>
 #include <deque>
