Keep away from stragglers from the first missing token on

A token is overdue after four usual times, recent pace weighs more, a report with a pace 4.5 times too slow counts where the node has no evidence of its own, probes are normal requests at 5 to 20 s or when a report shows the usual pace, and requests fall back on suspected endpoints before they are refused. Hedges start after the time that 99 in 100 need, no longer 95.

--- a/include/eelgrassbend/routing/hedge_policy.h
+++ b/include/eelgrassbend/routing/hedge_policy.h
@@ -39,7 +39,7 @@
 private:
     const bundle_view& bundles;
     share_budget budget;
-    std::map<std::pair<service_id, request_class>, duration> usual; ///< 95 in 100 are faster
+    std::map<std::pair<service_id, request_class>, duration> usual; ///< 99 in 100 are faster
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/routing/service_router.h
+++ b/include/eelgrassbend/routing/service_router.h
@@ -46,6 +46,7 @@
         std::int64_t uncached = 0;
         std::int64_t prompt_work = 0; ///< own uncached prompt tokens and those queued before
         bool slot_was_free = false;
+        duration predicted{}; ///< time to the first token
         monotonic_time sent;
         monotonic_time last_progress;
         monotonic_time due; ///< when the next token is expected
--- a/include/eelgrassbend/routing/service_table.h
+++ b/include/eelgrassbend/routing/service_table.h
@@ -23,9 +23,13 @@
     load_estimate load;
     pace_model pace;
     progress_watch progress;
-    bool usable = false;       ///< takes new work
-    bool suspected = false;    ///< slow or without progress, as this node saw itself
-    monotonic_time last_probe; ///< when work was last sent there although it was suspected
+    bool usable = false;           ///< takes new work
+    bool suspected = false;        ///< slow or without progress, as this node saw itself
+    bool reported_slow = false;    ///< by its last report
+    bool reported_in_pace = false; ///< by its last report, with work to show it
+    monotonic_time last_token;     ///< when a token last came from there
+    monotonic_time next_probe;     ///< not before, work is sent there although it is suspected
+    duration probe_delay{};        ///< between two such probes
 };
 
 /// The endpoints of one service.
@@ -70,6 +74,13 @@
     /// Time for each uncached prompt token.
     [[nodiscard]] duration expected_prompt_time(const endpoint_record& record) const;
 
+    /// Takes the pace that a report tells.
+    void report_pace(endpoint_index index, const load_report& report, monotonic_time now);
+    /// Whether a suspected endpoint should get a request, to see if it has recovered.
+    [[nodiscard]] bool probe_due(endpoint_index index, request_class size,
+                                 monotonic_time now) const;
+    void probed(endpoint_index index, monotonic_time now);
+
     /// Decides anew whether the endpoint is suspected; true if it is.
     bool review(endpoint_index index, monotonic_time now);
 
--- a/lib/routing/hedge_policy.cpp
+++ b/lib/routing/hedge_policy.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr double usual_share = 0.95;
+constexpr double usual_share = 0.99;
 /// Step of the estimate, as a share of it.
-constexpr double estimate_step = 0.05;
+constexpr double estimate_step = 0.1;
 constexpr duration shortest_delay = std::chrono::milliseconds{80};
 constexpr duration first_estimate = std::chrono::milliseconds{500};
 /// A first token that is expected late is not hedged before this multiple of the expectation.
--- a/lib/routing/pace_model.cpp
+++ b/lib/routing/pace_model.cpp
@@ -8,7 +8,7 @@
 
 // Weights of a new sample; the first samples weigh more, so that defaults are soon forgotten.
 constexpr double prompt_weight = 0.1;
-constexpr double recent_weight = 0.15;
+constexpr double recent_weight = 0.3;
 constexpr double steady_weight = 0.005;
 /// Prompts shorter than this say more about the network than about the endpoint.
 constexpr std::int64_t shortest_prompt_sample = 32;
--- a/lib/routing/predictive_policy.cpp
+++ b/lib/routing/predictive_policy.cpp
@@ -21,8 +21,6 @@
 /// Share of its slots by which an endpoint's queue may grow for each class.
 constexpr double quick_queue_share = 0.5;
 constexpr double normal_queue_share = 0.0;
-/// Time between two requests that are sent to a suspected endpoint to see whether it recovered.
-constexpr duration probe_interval = std::chrono::seconds{2};
 constexpr std::string_view no_free_slot = "no free slot";
 constexpr std::string_view suspected_note = "suspected";
 /// Candidates that a decision names.
@@ -118,27 +116,38 @@
         if (!eligible(record, request)) {
             each.note = "excluded";
         }
-        else if (table.review(index, now)) {
-            each.note = suspected_note;
-        }
         else if (record.load.total() + 1.0 > capacity(table, record, request.size, starving)) {
             each.note = no_free_slot;
         }
+        else if (table.review(index, now)) {
+            each.note = suspected_note;
+        }
         candidates.push_back(std::move(each));
     }
     return candidates;
 }
 
+std::vector<const predictive_policy::candidate*>
+predictive_policy::with_note(const candidate_list& candidates, std::string_view note)
+{
+    std::vector<const candidate*> chosen;
+    for (const auto& each : candidates) {
+        if (each.note == note) {
+            chosen.push_back(&each);
+        }
+    }
+    return chosen;
+}
+
 const predictive_policy::candidate* predictive_policy::select(const candidate_list& candidates,
                                                               const route_request& request,
                                                               std::string& reason,
                                                               std::uint32_t& near_equals)
 {
-    std::vector<const candidate*> open;
-    for (const auto& each : candidates) {
-        if (each.note.empty()) {
-            open.push_back(&each);
-        }
+    auto open = with_note(candidates, "");
+    if (open.empty()) {
+        // A slow answer is better than a refusal.
+        open = with_note(candidates, suspected_note);
     }
     if (open.empty()) {
         return nullptr;
@@ -173,11 +182,11 @@
     }
     const auto now = this->clock.now();
     for (const auto index : table.suspects()) {
-        auto& record = table.at(index);
-        if (!eligible(record, request) || now - record.last_probe < probe_interval) {
+        const auto& record = table.at(index);
+        if (!eligible(record, request) || !table.probe_due(index, request.size, now)) {
             continue;
         }
-        record.last_probe = now;
+        table.probed(index, now);
         candidate each;
         each.index = index;
         each.expected = predict(table, index, request);
--- a/lib/routing/predictive_policy.h
+++ b/lib/routing/predictive_policy.h
@@ -34,6 +34,8 @@
     [[nodiscard]] std::vector<endpoint_index> collect(const service_table& table,
                                                       const route_request& request);
     candidate_list evaluate(service_table& table, const route_request& request);
+    static std::vector<const candidate*> with_note(const candidate_list& candidates,
+                                                   std::string_view note);
     /// Null if no candidate is left.
     const candidate* select(const candidate_list& candidates, const route_request& request,
                             std::string& reason, std::uint32_t& near_equals);
--- a/lib/routing/service_router.cpp
+++ b/lib/routing/service_router.cpp
@@ -13,6 +13,10 @@
 constexpr duration oldest_report = std::chrono::seconds{10};
 /// A wait for a slot is little known, so it may take this many times longer before it is overdue.
 constexpr int slot_wait_slack = 2;
+/// A first token is overdue after half as much again as predicted, and this.
+constexpr duration first_token_allowance = std::chrono::milliseconds{250};
+/// A next token is overdue after the time that this many usually take.
+constexpr int overdue_tokens = 4;
 
 } // namespace
 
@@ -60,9 +64,11 @@
     started.uncached = request.prompt_tokens.value() - expected.cached_tokens;
     started.prompt_work = expected.prompt_work;
     started.slot_was_free = expected.slot_wait == duration::zero();
+    started.predicted = expected.first_token;
     started.sent = now;
     started.last_progress = now;
-    started.due = now + expected.first_token + expected.slot_wait * slot_wait_slack;
+    started.due = now + expected.first_token + expected.first_token / 2 +
+                  expected.slot_wait * slot_wait_slack + first_token_allowance;
     record.progress.expect(started.due);
     record.load.dispatched(now, request.size, started.uncached);
     state->table.load_changed(*index);
@@ -89,7 +95,8 @@
     }
     known.tokens = total.value();
     known.last_progress = now;
-    known.due = now + table.expected_token_time(record);
+    record.last_token = now;
+    known.due = now + table.expected_token_time(record) * overdue_tokens;
     record.progress.expect(known.due);
     table.review(known.endpoint, now);
 }
@@ -140,6 +147,7 @@
     const duration age = std::clamp(duration{this->clock.wall_now() - report.measured_at},
                                     duration::zero(), oldest_report);
     state->table.at(*index).load.reported(this->clock.now(), age, report);
+    state->table.report_pace(*index, report, this->clock.now());
     state->table.load_changed(*index);
 }
 
@@ -232,7 +240,7 @@
     auto& table = attempt.service->table;
     auto& record = table.at(attempt.endpoint);
     record.load.prompt_done(attempt.uncached);
-    record.pace.first_token_late(now - attempt.due);
+    record.pace.first_token_late(now - attempt.sent - attempt.predicted);
     // Behind a full endpoint the wait says nothing about the speed of the prompt work.
     if (!attempt.slot_was_free) {
         return;
--- a/lib/routing/service_table.cpp
+++ b/lib/routing/service_table.cpp
@@ -14,8 +14,15 @@
 constexpr double suspect_slowness = 2.5;
 /// It is trusted again below this multiple.
 constexpr double trusted_slowness = 1.5;
-/// An endpoint is suspected if what is expected of it is overdue by this much.
-constexpr duration suspect_overdue = std::chrono::milliseconds{400};
+/// A report counts as slow from this multiple on; prompts under way make it look slower than it is.
+constexpr double reported_slowness = 4.5;
+/// What this node saw itself counts for this long against a report that says otherwise.
+constexpr duration own_evidence_span = std::chrono::seconds{2};
+/// Time until a suspected endpoint is probed; doubled with each probe up to the longest.
+constexpr duration first_probe_delay = std::chrono::seconds{5};
+constexpr duration longest_probe_delay = std::chrono::seconds{20};
+/// Time between probes of an endpoint that reports its usual pace.
+constexpr duration hinted_probe_delay = std::chrono::seconds{2};
 /// Samples of the pace that a suspicion needs.
 constexpr std::uint64_t pace_samples = 8;
 /// Weight of a new sample of the time that a slot is held.
@@ -82,19 +89,61 @@
                                       : found->second.prompt_token_time();
 }
 
+void service_table::report_pace(endpoint_index index, const load_report& report, monotonic_time now)
+{
+    auto& record = this->records[index];
+    record.reported_slow = false;
+    record.reported_in_pace = false;
+    if (report.running == 0 || report.tokens_per_second <= 0.0) {
+        return;
+    }
+    const double gap = report.running / report.tokens_per_second;
+    const double expected =
+        std::chrono::duration<double>{this->expected_token_time(record)}.count();
+    record.reported_slow = gap > expected * reported_slowness;
+    record.reported_in_pace = gap < expected * suspect_slowness;
+    if (record.reported_in_pace) {
+        record.next_probe = std::min(record.next_probe, now + hinted_probe_delay);
+    }
+    this->review(index, now);
+}
+
+bool service_table::probe_due(endpoint_index index, request_class size, monotonic_time now) const
+{
+    const auto& record = this->records[index];
+    // A normal request shows most and suffers least; quick ones do it only where others are rare.
+    const auto due =
+        size == request_class::normal ? record.next_probe : record.next_probe + record.probe_delay;
+    return size != request_class::long_running && now >= due;
+}
+
+void service_table::probed(endpoint_index index, monotonic_time now)
+{
+    auto& record = this->records[index];
+    record.next_probe = now + record.probe_delay;
+    record.probe_delay = std::min(longest_probe_delay, record.probe_delay * 2);
+}
+
 bool service_table::review(endpoint_index index, monotonic_time now)
 {
     auto& record = this->records[index];
     const auto expected = static_cast<double>(this->expected_token_time(record).count());
     const auto recent = static_cast<double>(record.pace.recent_token_time().count());
     const double limit = expected * (record.suspected ? trusted_slowness : suspect_slowness);
-    const bool slow = record.pace.tokens_seen() >= pace_samples && recent > limit;
-    const bool suspected = slow || record.progress.overdue(now) > suspect_overdue;
+    const bool seen = record.pace.tokens_seen() >= pace_samples;
+    const bool slow = seen && recent > limit;
+    // A report counts only where this node has seen nothing itself lately.
+    const bool own_evidence = seen && now - record.last_token < own_evidence_span;
+    const bool told_slow = record.reported_slow && !own_evidence;
+    const bool late = record.progress.overdue(now) > duration::zero();
+    const bool suspected = slow || told_slow || late;
     if (suspected == record.suspected) {
         return suspected;
     }
     record.suspected = suspected;
     if (suspected) {
+        record.probe_delay = first_probe_delay;
+        record.next_probe = now + record.probe_delay;
         this->by_load.remove(index);
         this->suspect_list.push_back(index);
         return true;
