Send quick requests where nothing is ahead of them

A quick request went to the cheapest endpoint that was predicted to meet the target of 2 s, so it could wait behind other prompts for most of that. It takes an endpoint with at most 40 ms of predicted delay by others if there is one.

--- a/include/eelgrassbend/routing/prediction.h
+++ b/include/eelgrassbend/routing/prediction.h
@@ -13,6 +13,7 @@
 struct prediction {
     duration first_token{}; ///< from dispatch; waits included
     duration slot_wait{};   ///< part of `first_token` before a slot is free
+    duration delay{};       ///< part of `first_token` that is due to other requests
     duration token_time{};  ///< between two output tokens
     duration completion{};  ///< from dispatch to the last token
     money cost;             ///< of the host for the time that the request occupies a slot
--- a/lib/routing/prediction.cpp
+++ b/lib/routing/prediction.cpp
@@ -49,6 +49,8 @@
     const auto prompt_time = table.expected_prompt_time(record) * expected.prompt_work;
     expected.first_token =
         first_token_base + expected.slot_wait + prompt_time + record.pace.lateness();
+    expected.delay = expected.slot_wait + record.pace.lateness() +
+                     table.expected_prompt_time(record) * record.load.pending_prompt_tokens();
     expected.token_time =
         std::max(record.pace.recent_token_time(), table.expected_token_time(record));
     const auto output = std::max<std::int64_t>(1, request.expected_output.value());
--- a/lib/routing/predictive_policy.cpp
+++ b/lib/routing/predictive_policy.cpp
@@ -18,6 +18,8 @@
 /// view do not all choose the same one.
 constexpr double cost_equality = 0.05;
 constexpr double time_equality = 0.15;
+/// Time for which a quick request may wait behind others if there is a better place.
+constexpr duration longest_quick_delay = std::chrono::milliseconds{40};
 /// Share of its slots by which an endpoint's queue may grow for each class.
 constexpr double quick_queue_share = 0.5;
 constexpr double normal_queue_share = 0.0;
@@ -127,6 +129,17 @@
     return candidates;
 }
 
+/// Leaves only endpoints where the request is served at once, if there are any.
+void predictive_policy::keep_undelayed(std::vector<const candidate*>& open)
+{
+    const auto delayed = [](const candidate* each) {
+        return each->expected.delay > longest_quick_delay;
+    };
+    if (!std::ranges::all_of(open, delayed)) {
+        std::erase_if(open, delayed);
+    }
+}
+
 std::vector<const predictive_policy::candidate*>
 predictive_policy::with_note(const candidate_list& candidates, std::string_view note)
 {
@@ -152,6 +165,9 @@
     if (open.empty()) {
         return nullptr;
     }
+    if (request.size == request_class::quick) {
+        keep_undelayed(open);
+    }
     const bool any_meets = std::ranges::any_of(open, &candidate::meets_target);
     if (any_meets) {
         std::erase_if(open, [](const candidate* each) { return !each->meets_target; });
--- a/lib/routing/predictive_policy.h
+++ b/lib/routing/predictive_policy.h
@@ -36,6 +36,7 @@
     candidate_list evaluate(service_table& table, const route_request& request);
     static std::vector<const candidate*> with_note(const candidate_list& candidates,
                                                    std::string_view note);
+    static void keep_undelayed(std::vector<const candidate*>& open);
     /// Null if no candidate is left.
     const candidate* select(const candidate_list& candidates, const route_request& request,
                             std::string& reason, std::uint32_t& near_equals);
