Tell peers what is under way on each endpoint

With 8 nodes a node knew of the others' work only from reports that are 1 to 2 s old, so several sent to the same slots. Nodes exchange small digests: own outstanding attempts, uncached prompt tokens and suspicions for each endpoint in use, at most every 250 ms and within 6 KB a second; reports explain only what is beyond these.

--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -26,6 +26,7 @@
 constexpr duration measured = std::chrono::seconds{100};
 constexpr duration drain = std::chrono::seconds{60};
 constexpr duration report_interval = std::chrono::seconds{1};
+constexpr duration peer_delay = std::chrono::milliseconds{1};
 constexpr duration slot_sample = std::chrono::milliseconds{50};
 constexpr double straggler_slowdown = 6.0;
 constexpr std::size_t most_attempts = 3;
@@ -87,6 +88,7 @@
     void start_arrivals();
     void schedule_stragglers();
     void poll(entry_node& node, std::size_t engine);
+    void exchange_digests(std::size_t node);
     void sample_slots();
     void begin(const work_item& item);
     void next_closed();
@@ -115,6 +117,7 @@
     std::unordered_set<std::uint64_t> computed_blocks;
     routing_figures figures;
     std::size_t next_item = 0;
+    std::size_t digest_bytes = 0;
     bool accepting = true;
 };
 
@@ -177,6 +180,22 @@
                             [this, pointer = &node, engine] { this->poll(*pointer, engine); });
 }
 
+void routing_run::exchange_digests(std::size_t node)
+{
+    const node_id self{"node-" + std::to_string(node)};
+    const auto bytes = encode(this->nodes[node]->router.digest(self));
+    for (std::size_t peer = 0; peer < this->nodes.size(); ++peer) {
+        if (peer != node) {
+            this->timers.call_after(peer_delay, [this, peer, bytes] {
+                this->nodes[peer]->router.apply_digest(decode_load_digest(bytes).value());
+            });
+        }
+    }
+    this->digest_bytes += bytes.size() * (this->nodes.size() - 1);
+    this->timers.call_after(digest_interval(bytes.size(), this->nodes.size() - 1),
+                            [this, node] { this->exchange_digests(node); });
+}
+
 void routing_run::sample_slots()
 {
     const double hours = std::chrono::duration<double, std::ratio<3600>>{slot_sample}.count();
@@ -241,6 +260,10 @@
 {
     this->schedule_stragglers();
     this->start_arrivals();
+    for (std::size_t node = 0; node < this->nodes.size() && this->nodes.size() > 1; ++node) {
+        this->timers.call_after(std::chrono::milliseconds{30} * node,
+                                [this, node] { this->exchange_digests(node); });
+    }
     this->timers.run_for(warm_up);
     const double cost_before = this->busy_cost();
     this->sample_slots();
@@ -255,6 +278,9 @@
     fields["stragglers"] = this->options.stragglers;
     fields["nodes"] = this->options.nodes;
     fields["seed"] = this->options.seed;
+    const auto seconds = std::chrono::duration<double>{warm_up + measured + drain}.count();
+    fields["digest_bytes_per_node_second"] =
+        static_cast<double>(this->digest_bytes) / seconds / this->options.nodes;
     return fields;
 }
 
--- /dev/null
+++ b/include/eelgrassbend/routing/load_digest.h
@@ -0,0 +1,42 @@
+#ifndef EELGRASSBEND_ROUTING_LOAD_DIGEST_H
+#define EELGRASSBEND_ROUTING_LOAD_DIGEST_H
+
+#include "eelgrassbend/support/error.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// What one entry node has under way on one endpoint.
+struct endpoint_usage {
+    endpoint_id endpoint;
+    std::uint32_t outstanding = 0;
+    std::int64_t pending_prompt_tokens = 0;
+    bool suspected = false; ///< slow, by what the node saw itself
+
+    friend bool operator==(const endpoint_usage&, const endpoint_usage&) = default;
+};
+
+/// What one entry node has under way on all endpoints; those left out have nothing.
+struct load_digest {
+    node_id from;
+    std::vector<endpoint_usage> endpoints;
+};
+
+/// Bytes a second that a node spends on sending digests.
+constexpr std::int64_t digest_bytes_per_second = 6'000;
+
+std::string encode(const load_digest& digest);
+/// Errors: `invalid_argument`.
+result<load_digest> decode_load_digest(const std::string& bytes);
+
+/// Time between two digests of `bytes` each to `receivers` nodes.
+duration digest_interval(std::size_t bytes, std::size_t receivers);
+
+} // namespace eelgrassbend
+
+#endif
--- a/include/eelgrassbend/routing/load_estimate.h
+++ b/include/eelgrassbend/routing/load_estimate.h
@@ -2,11 +2,13 @@
 #define EELGRASSBEND_ROUTING_LOAD_ESTIMATE_H
 
 #include "eelgrassbend/endpoints/load_report.h"
+#include "eelgrassbend/routing/load_digest.h"
 #include "eelgrassbend/routing/router.h"
 #include "eelgrassbend/support/units.h"
 
 #include <cstdint>
 #include <deque>
+#include <map>
 
 namespace eelgrassbend {
 
@@ -22,6 +24,12 @@
     /// `age` is the time since the report was measured.
     void reported(monotonic_time now, duration age, const load_report& report);
 
+    /// Replaces what a peer says it has under way; nothing with an empty usage.
+    void peer_usage(monotonic_time now, const node_id& peer, const endpoint_usage& usage);
+
+    /// Peers that say the endpoint is slow.
+    [[nodiscard]] std::size_t suspecting_peers() const;
+
     /// Attempts of this node under way.
     [[nodiscard]] std::uint32_t own() const { return this->own_count; }
 
@@ -34,26 +42,32 @@
     [[nodiscard]] double total() const { return this->own_count + this->others(); }
 
     [[nodiscard]] std::int64_t pending_prompt_tokens() const;
+
+    /// Uncached prompt tokens of this node's attempts.
+    [[nodiscard]] std::int64_t own_pending_tokens() const { return this->own_pending; }
+
     [[nodiscard]] std::uint32_t slots() const;
 
 private:
     struct sample {
         monotonic_time time;
-        std::uint32_t own = 0;
-        std::uint64_t sent = 0;
-        std::int64_t pending = 0;
+        std::int64_t known = 0;   ///< attempts of this node and its peers
+        std::int64_t pending = 0; ///< their uncached prompt tokens
     };
 
     void remember(monotonic_time now);
+    [[nodiscard]] sample current(monotonic_time time) const;
     [[nodiscard]] sample at(monotonic_time time) const;
 
     std::uint32_t own_count = 0;
     std::uint32_t own_long_count = 0;
-    std::uint64_t sent_count = 0;
     std::int64_t own_pending = 0;
+    std::int64_t peer_count = 0;
+    std::int64_t peer_pending = 0;
+    std::map<node_id, endpoint_usage> by_peer;
     std::uint32_t slot_count = 0;
-    double others_at_report = 0.0;
-    std::int64_t others_pending = 0;
+    double unexplained = 0.0; ///< attempts that neither this node nor a peer sent
+    std::int64_t unexplained_pending = 0;
     std::deque<sample> history;
 };
 
--- a/include/eelgrassbend/routing/service_router.h
+++ b/include/eelgrassbend/routing/service_router.h
@@ -3,6 +3,7 @@
 
 #include "eelgrassbend/bundle/bundle.h"
 #include "eelgrassbend/endpoints/endpoint_directory.h"
+#include "eelgrassbend/routing/load_digest.h"
 #include "eelgrassbend/routing/router.h"
 #include "eelgrassbend/routing/routing_policy.h"
 #include "eelgrassbend/routing/service_table.h"
@@ -30,6 +31,13 @@
     void report_cache(const endpoint_id& endpoint, const cache_event& event) override;
     [[nodiscard]] duration retry_after(const service_id& service) const override;
 
+    /// What this node has under way, for its peers.
+    [[nodiscard]] load_digest digest(const node_id& self) const;
+    /// Takes the digest of a peer in place of its last one.
+    void apply_digest(const load_digest& digest);
+    /// Forgets a peer that is gone.
+    void forget_peer(const node_id& peer);
+
 private:
     struct service_state {
         explicit service_state(const service_id& service) : table(service) {}
@@ -53,6 +61,14 @@
         std::int64_t tokens = 0;
     };
 
+    /// The last digest of a peer.
+    struct peer_state {
+        monotonic_time heard;
+        std::vector<endpoint_id> endpoints;
+    };
+
+    void set_usage(const node_id& peer, const endpoint_usage& usage);
+    void expire_peers();
     service_state* find_service(const service_id& service);
     void refresh_bundle();
     void configure(service_state& state);
@@ -69,6 +85,7 @@
     std::unordered_map<service_id, std::unique_ptr<service_state>> services;
     std::unordered_map<endpoint_id, service_id> service_by_endpoint;
     std::unordered_map<attempt_id, outstanding_attempt> attempts;
+    std::unordered_map<node_id, peer_state> peers;
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/routing/service_table.h
+++ b/include/eelgrassbend/routing/service_table.h
@@ -27,6 +27,7 @@
     bool suspected = false;        ///< slow or without progress, as this node saw itself
     bool reported_slow = false;    ///< by its last report
     bool reported_in_pace = false; ///< by its last report, with work to show it
+    bool own_suspicion = false;    ///< by what this node saw itself
     monotonic_time last_token;     ///< when a token last came from there
     monotonic_time next_probe;     ///< not before, work is sent there although it is suspected
     duration probe_delay{};        ///< between two such probes
--- a/lib/routing/load_estimate.cpp
+++ b/lib/routing/load_estimate.cpp
@@ -10,6 +10,7 @@
 /// Reports older than this are not corrected any further.
 constexpr duration history_span = std::chrono::seconds{10};
 constexpr std::size_t history_limit = 256;
+constexpr double unexplained_weight = 0.3;
 /// Slots of an endpoint that has not reported.
 constexpr std::uint32_t unreported_slots = 8;
 
@@ -19,7 +20,6 @@
 {
     this->remember(now);
     ++this->own_count;
-    ++this->sent_count;
     this->own_pending += uncached;
     if (size == request_class::long_running) {
         ++this->own_long_count;
@@ -46,14 +46,36 @@
     const auto then = this->at(now - age);
     const double all = static_cast<double>(report.running) + report.queued;
     this->slot_count = report.slots;
-    this->others_at_report = std::max(0.0, all - then.own);
-    this->others_pending =
+    const double rest = std::max(0.0, all - static_cast<double>(then.known));
+    // Digests are late too, so that differences of a few attempts come and go.
+    const double weight = this->by_peer.empty() ? 1.0 : unexplained_weight;
+    this->unexplained += (rest - this->unexplained) * weight;
+    this->unexplained_pending =
         std::max<std::int64_t>(0, report.queued_prompt_tokens.value() - then.pending);
 }
 
+void load_estimate::peer_usage(monotonic_time now, const node_id& peer, const endpoint_usage& usage)
+{
+    this->remember(now);
+    const auto& before = this->by_peer[peer];
+    this->peer_count += std::int64_t{usage.outstanding} - before.outstanding;
+    this->peer_pending += usage.pending_prompt_tokens - before.pending_prompt_tokens;
+    if (usage.outstanding == 0 && !usage.suspected) {
+        this->by_peer.erase(peer);
+        return;
+    }
+    this->by_peer[peer] = usage;
+}
+
+std::size_t load_estimate::suspecting_peers() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->by_peer, [](const auto& entry) { return entry.second.suspected; }));
+}
+
 double load_estimate::others() const
 {
-    return this->others_at_report;
+    return static_cast<double>(this->peer_count) + this->unexplained;
 }
 
 std::uint32_t load_estimate::slots() const
@@ -63,12 +85,12 @@
 
 std::int64_t load_estimate::pending_prompt_tokens() const
 {
-    return std::max<std::int64_t>(0, this->own_pending) + this->others_pending;
+    return this->own_pending + this->peer_pending + this->unexplained_pending;
 }
 
 void load_estimate::remember(monotonic_time now)
 {
-    this->history.push_back({now, this->own_count, this->sent_count, this->own_pending});
+    this->history.push_back(this->current(now));
     while (this->history.size() > history_limit ||
            now - this->history.front().time > history_span) {
         this->history.pop_front();
@@ -82,7 +104,12 @@
     if (later != this->history.end()) {
         return *later;
     }
-    return {time, this->own_count, this->sent_count, this->own_pending};
+    return this->current(time);
+}
+
+load_estimate::sample load_estimate::current(monotonic_time time) const
+{
+    return {time, this->own_count + this->peer_count, this->own_pending + this->peer_pending};
 }
 
 } // namespace eelgrassbend
--- a/lib/routing/service_router.cpp
+++ b/lib/routing/service_router.cpp
@@ -13,6 +13,8 @@
 constexpr duration oldest_report = std::chrono::seconds{10};
 /// A wait for a slot is little known, so it may take this many times longer before it is overdue.
 constexpr int slot_wait_slack = 2;
+/// A peer that has sent no digest for this long has nothing under way.
+constexpr duration longest_peer_silence = std::chrono::seconds{5};
 /// A first token is overdue after half as much again as predicted, and this.
 constexpr duration first_token_allowance = std::chrono::milliseconds{250};
 /// A next token is overdue after the time that this many usually take.
@@ -144,6 +146,7 @@
     if (!index) {
         return;
     }
+    this->expire_peers();
     const duration age = std::clamp(duration{this->clock.wall_now() - report.measured_at},
                                     duration::zero(), oldest_report);
     state->table.at(*index).load.reported(this->clock.now(), age, report);
@@ -169,6 +172,71 @@
     return found->second->table.slot_release_time();
 }
 
+load_digest service_router::digest(const node_id& self) const
+{
+    load_digest content;
+    content.from = self;
+    for (const auto& [service, state] : this->services) {
+        for (const auto index : state->table.live()) {
+            const auto& record = state->table.at(index);
+            if (record.load.own() > 0 || record.own_suspicion) {
+                content.endpoints.push_back({record.info.id, record.load.own(),
+                                             record.load.own_pending_tokens(),
+                                             record.own_suspicion});
+            }
+        }
+    }
+    return content;
+}
+
+void service_router::apply_digest(const load_digest& digest)
+{
+    this->expire_peers();
+    this->forget_peer(digest.from);
+    auto& peer = this->peers[digest.from];
+    peer.heard = this->clock.now();
+    for (const auto& usage : digest.endpoints) {
+        this->set_usage(digest.from, usage);
+        peer.endpoints.push_back(usage.endpoint);
+    }
+}
+
+void service_router::forget_peer(const node_id& peer)
+{
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end()) {
+        return;
+    }
+    for (const auto& endpoint : found->second.endpoints) {
+        this->set_usage(peer, {endpoint});
+    }
+    this->peers.erase(found);
+}
+
+void service_router::set_usage(const node_id& peer, const endpoint_usage& usage)
+{
+    auto* state = this->service_of(usage.endpoint);
+    const auto index = state == nullptr ? std::nullopt : state->table.find(usage.endpoint);
+    if (!index) {
+        return;
+    }
+    state->table.at(*index).load.peer_usage(this->clock.now(), peer, usage);
+    state->table.load_changed(*index);
+}
+
+void service_router::expire_peers()
+{
+    std::vector<node_id> silent;
+    for (const auto& [peer, usage] : this->peers) {
+        if (this->clock.now() - usage.heard > longest_peer_silence) {
+            silent.push_back(peer);
+        }
+    }
+    for (const auto& peer : silent) {
+        this->forget_peer(peer);
+    }
+}
+
 service_router::service_state* service_router::find_service(const service_id& service)
 {
     const auto found = this->services.find(service);
--- a/lib/routing/service_table.cpp
+++ b/lib/routing/service_table.cpp
@@ -134,9 +134,11 @@
     const bool slow = seen && recent > limit;
     // A report counts only where this node has seen nothing itself lately.
     const bool own_evidence = seen && now - record.last_token < own_evidence_span;
-    const bool told_slow = record.reported_slow && !own_evidence;
+    const bool told = record.reported_slow || record.load.suspecting_peers() > 0;
+    const bool told_slow = told && !own_evidence;
     const bool late = record.progress.overdue(now) > duration::zero();
-    const bool suspected = slow || told_slow || late;
+    record.own_suspicion = slow || late;
+    const bool suspected = record.own_suspicion || told_slow;
     if (suspected == record.suspected) {
         return suspected;
     }
