--- a/include/eelgrassbend/bundle/bundle_fold.h
+++ b/include/eelgrassbend/bundle/bundle_fold.h
@@ -47,7 +47,8 @@
 
     /// Starts again from a checkpoint, for a node that has missed records. An error if its
     /// signatures do not lead back to the trusted operators or if it would revert this node.
-    result<void> adopt(const bundle_checkpoint& checkpoint);
+    /// `in_stream`: it is a record of the stream and not a peer's state.
+    result<void> adopt(const bundle_checkpoint& checkpoint, bool in_stream = true);
 
     [[nodiscard]] bundle_checkpoint checkpoint() const;
 
--- a/include/eelgrassbend/platform/log_client.h
+++ b/include/eelgrassbend/platform/log_client.h
@@ -30,6 +30,16 @@
     std::vector<log_record> records; ///< consecutive, from the offset asked for or first_retained
 };
 
+/// Detail of an `unavailable` error by which the log itself said that it is in an outage.
+inline constexpr const char* log_outage_detail = "the log is in an outage";
+
+/// Whether the log answered that it is in an outage, so that nobody can append; false if it
+/// could not be reached.
+inline bool is_log_outage(const error& failure)
+{
+    return failure.code == errc::unavailable && failure.detail == log_outage_detail;
+}
+
 /// The platform's append-only log. Errors: `unavailable` if nothing was appended,
 /// `outcome_unknown` or `timed_out` if the append may have taken effect, `rate_limited`.
 class log_client {
--- a/lib/bundle/bundle_fold.cpp
+++ b/lib/bundle/bundle_fold.cpp
@@ -59,6 +59,9 @@
     }
     this->state.next_offset = record.offset + log_offset{1};
     auto decision = this->decide(record);
+    if (this->halted) {
+        this->state.next_offset = record.offset; // the state does not reach past this record
+    }
     decision.offset = record.offset;
     decision.id = record.id;
     decision.in_force = this->bundle_in_force->version;
@@ -262,7 +265,7 @@
                                {header.value().operators, header.value().required_signatures}};
 }
 
-result<void> bundle_fold::adopt(const bundle_checkpoint& checkpoint)
+result<void> bundle_fold::adopt(const bundle_checkpoint& checkpoint, bool in_stream)
 {
     auto verified = this->verify(checkpoint);
     if (!verified) {
@@ -286,7 +289,9 @@
     this->state = checkpoint;
     this->operators_in_force = std::move(verified.value().signers);
     this->bundle_in_force = std::move(contents);
-    this->restart = std::max(this->restart, checkpoint.next_offset);
+    if (in_stream) {
+        this->restart = std::max(this->restart, checkpoint.next_offset);
+    }
     return boost::outcome_v2::success();
 }
 
--- a/unittests/fakes/fake_log.h
+++ b/unittests/fakes/fake_log.h
@@ -160,9 +160,10 @@
             this->fail(step, errc::timed_out, this->faults.timeout, handler);
         }
         this->timers.call_after(there, [=, this, effect = std::move(effect)] {
-            if (refused || this->faults.cut_off || this->log.outage) {
+            const bool outage = this->log.outage && !this->faults.cut_off;
+            if (refused || this->faults.cut_off || outage) {
                 if (!lose_answer && !late) {
-                    this->fail(step, refusal, back, handler);
+                    this->fail(step, refusal, back, handler, outage ? log_outage_detail : "");
                 }
                 return;
             }
@@ -177,10 +178,10 @@
     }
 
     template <typename Handler>
-    void fail(const char* step, errc code, duration after, Handler handler)
+    void fail(const char* step, errc code, duration after, Handler handler, const char* detail = "")
     {
-        this->timers.call_after(after, [step, code, handler = std::move(handler)] {
-            handler(make_error(code, step, "fake log"));
+        this->timers.call_after(after, [step, code, detail, handler = std::move(handler)] {
+            handler(make_error(code, step, "fake log", detail));
         });
     }
 
