Charge prompt work to the whole host

The predicted cost took a request as one slot for its whole time, so recomputing a prompt looked 16 times too cheap: an engine computes one prompt at a time. Prompt time counts for the whole host, output time for a slot.

--- a/lib/routing/prediction.cpp
+++ b/lib/routing/prediction.cpp
@@ -30,11 +30,15 @@
     return duration{static_cast<duration::rep>(release * excess)};
 }
 
-static money occupancy_cost(const endpoint_record& record, duration held)
+/// Prompt work keeps the whole host, output a share of it.
+static money host_cost(const service_table& table, const endpoint_record& record,
+                       std::int64_t uncached, duration output_time)
 {
-    const auto price = static_cast<double>(record.price_per_hour.value());
+    const auto prompt_time = table.expected_prompt_time(record) * uncached;
+    const auto held = prompt_time + output_time / record.load.slots();
     const double hours = std::chrono::duration<double, std::ratio<3600>>{held}.count();
-    return money{static_cast<std::int64_t>(price * hours / record.load.slots())};
+    const auto price = static_cast<double>(record.price_per_hour.value());
+    return money{static_cast<std::int64_t>(price * hours)};
 }
 
 prediction predict(const service_table& table, endpoint_index index, const route_request& request)
@@ -54,8 +58,9 @@
     expected.token_time =
         std::max(record.pace.recent_token_time(), table.expected_token_time(record));
     const auto output = std::max<std::int64_t>(1, request.expected_output.value());
-    expected.completion = expected.first_token + expected.token_time * output;
-    expected.cost = occupancy_cost(record, expected.completion - expected.slot_wait);
+    const auto output_time = expected.token_time * output;
+    expected.completion = expected.first_token + output_time;
+    expected.cost = host_cost(table, record, uncached, output_time);
     return expected;
 }
 
