Add failure detection and membership of entry nodes

Cause: entry nodes must know each other without a coordination service, at a constant cost a node. Change: swim_membership probes in random round-robin order with indirect probes, suspicion and incarnations, tells of leaving at once, piggy-backs updates with a bounded send count, compares tables by hashes of 64 buckets and asks hosts of the lagging host list and the dead, so that parted regions merge. Bundle versions go as compact samples. Seen to fail first: without refutation, pause detection, forwarding of leaving, host list contacts, forgetting, the check for a successor, version samples or indirect probes a test of each turns red.

--- /dev/null
+++ b/lib/membership/swim_updates.cpp
@@ -0,0 +1,319 @@
+#include "eelgrassbend/membership/swim_membership.h"
+
+#include "member_table.h"
+#include "update_queue.h"
+#include "version_exchange.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace eelgrassbend {
+
+using namespace std::chrono_literals;
+
+static constexpr std::size_t message_base_bytes = 96;
+static constexpr std::size_t version_sample_bytes = 10;
+static constexpr std::size_t bucket_bytes = 5;
+// Datagrams that one digest can cause.
+static constexpr std::size_t max_sync_datagrams = 4;
+// A leaving node tells this many nodes itself, and each that hears of it as many again.
+static constexpr std::size_t leaving_fanout = 8;
+static constexpr std::size_t forward_fanout = 4;
+static constexpr std::size_t max_relayed_probes = 64;
+// A process that ran for less is the successor of another process with its name.
+static constexpr duration takeover_age = 60s;
+static constexpr int hearsay_factor = 2;
+
+void swim_membership::receive(const network_address& from, const swim_message& message)
+{
+    if (!this->running) {
+        return;
+    }
+    const auto members_before = this->table->live_count();
+    this->hear_sender(message.sender);
+    for (const auto& update : message.updates) {
+        this->apply(update);
+    }
+    for (const auto& sample : message.versions) {
+        const auto* id = this->versions->find(sample.key);
+        auto* entry = id == nullptr ? nullptr : this->table->find(*id);
+        if (entry != nullptr && sample.version > entry->record.bundle) {
+            entry->record.bundle = sample.version;
+            this->versions->changed(entry->record);
+            this->notify(entry->record);
+        }
+    }
+    const auto joining = this->time.now() < this->joining_until;
+    if (joining && this->table->live_count() > members_before) {
+        this->catch_up_rounds = std::max(this->catch_up_rounds, 2U);
+    }
+    if (this->running) {
+        this->handle_body(from, message);
+    }
+}
+
+void swim_membership::hear_sender(const member& sender)
+{
+    this->apply(sender);
+    auto* entry = this->table->find(sender.id);
+    if (entry == nullptr || entry->record.incarnation != sender.incarnation) {
+        return;
+    }
+    if (entry->record.state == member_state::leaving) {
+        entry->suspected_until.reset();
+        entry->accused_here = false;
+    }
+    if (sender.bundle > entry->record.bundle) {
+        entry->record.bundle = sender.bundle;
+        this->versions->changed(entry->record);
+        this->notify(entry->record);
+    }
+}
+
+// What the member `id` has to refute; empty if it is not suspected.
+std::vector<member> swim_membership::about(const node_id& id) const
+{
+    const auto* entry = this->table->find(id);
+    if (entry == nullptr) {
+        return {};
+    }
+    const auto state = entry->record.state;
+    if (state != member_state::suspect && state != member_state::dead) {
+        return {};
+    }
+    return {entry->record};
+}
+
+void swim_membership::handle_body(const network_address& from, const swim_message& message)
+{
+    const auto& sender = message.sender.id;
+    if (const auto* asked = std::get_if<probe>(&message.body)) {
+        this->send(from, probe_ack{asked->nonce}, this->about(sender));
+        return;
+    }
+    if (const auto* digest = std::get_if<table_digest>(&message.body)) {
+        this->handle_digest(from, *digest);
+    }
+    if (const auto* acked = std::get_if<probe_ack>(&message.body)) {
+        this->handle_ack(acked->nonce, sender);
+    }
+    if (const auto* request = std::get_if<probe_request>(&message.body)) {
+        this->handle_probe_request(from, *request);
+    }
+    if (const auto* passed_on = std::get_if<relayed_ack>(&message.body)) {
+        this->handle_ack(passed_on->nonce, passed_on->target);
+    }
+    const auto accused = this->about(sender);
+    if (!accused.empty()) {
+        this->send(from, no_body{}, accused);
+    }
+}
+
+void swim_membership::handle_ack(std::uint64_t nonce, const node_id& sender)
+{
+    if (this->outstanding && this->outstanding->nonce == nonce &&
+        this->outstanding->target == sender) {
+        this->outstanding.reset();
+        return;
+    }
+    const auto found = std::ranges::find(this->relayed, nonce, &relayed_probe::own_nonce);
+    if (found != this->relayed.end()) {
+        this->send(found->origin, relayed_ack{found->nonce, sender});
+        this->relayed.erase(found);
+    }
+}
+
+void swim_membership::handle_probe_request(const network_address& from,
+                                           const probe_request& request)
+{
+    if (this->relayed.size() >= max_relayed_probes) {
+        return;
+    }
+    const auto expires = this->time.now() + this->options.probe_period;
+    this->relayed.push_back({this->random(), request.nonce, from, expires});
+    this->send(request.address, probe{this->relayed.back().own_nonce});
+}
+
+void swim_membership::handle_digest(const network_address& from, const table_digest& digest)
+{
+    const auto mine = this->table->digest(this->own);
+    if (mine == digest.buckets) {
+        return;
+    }
+    if (!digest.answer) {
+        this->send(from, table_digest{mine, true});
+    }
+    this->send_records(from, this->table->records_in_difference(mine, digest.buckets));
+}
+
+void swim_membership::send_records(const network_address& to, const std::vector<member>& records)
+{
+    auto order = records;
+    std::ranges::shuffle(order, this->random);
+    const auto budget = max_message_bytes - message_base_bytes - encoded_member_bytes(this->own);
+    auto next = order.begin();
+    for (std::size_t count = 0; count < max_sync_datagrams && next != order.end(); ++count) {
+        swim_message message{this->own, no_body{}, {}, {}};
+        std::size_t used = 0;
+        while (next != order.end() && used + encoded_member_bytes(*next) <= budget) {
+            used += encoded_member_bytes(*next);
+            message.updates.push_back(*next++);
+        }
+        if (message.updates.empty()) {
+            return;
+        }
+        this->channel.send(to, message);
+    }
+}
+
+bool swim_membership::apply(const member& update)
+{
+    if (update.id == this->own.id) {
+        this->apply_about_self(update);
+        return false;
+    }
+    if (!this->table->supersedes(update)) {
+        return false;
+    }
+    const auto* before = this->table->find(update.id);
+    const auto was_leaving = before != nullptr && before->record.state == member_state::leaving;
+    const auto is_new = before == nullptr || before->record.state == member_state::dead;
+    if (before != nullptr) {
+        this->versions->remove(before->record);
+    }
+    auto& entry = this->table->store(update, this->time.now());
+    if (update.state == member_state::suspect) {
+        entry.suspected_until = this->time.now() + hearsay_factor * this->suspicion_time();
+    }
+    if (update.state != member_state::dead) {
+        this->versions->add(entry.record);
+    }
+    if (is_new && update.state != member_state::dead) {
+        const auto position = random_below(this->random, this->probe_order.size() + 1);
+        this->probe_order.insert(this->probe_order.begin() + static_cast<std::ptrdiff_t>(position),
+                                 update.id);
+    }
+    const auto changed = entry.record;
+    this->spread(changed);
+    if (changed.state == member_state::leaving && !was_leaving) {
+        this->spread_now(changed, forward_fanout);
+    }
+    this->notify(changed);
+    return true;
+}
+
+// Another process may hold this node's name: a younger one elsewhere wins, an older one is history.
+void swim_membership::apply_about_self(const member& update)
+{
+    const auto same = update.incarnation == this->own.incarnation;
+    if (update.incarnation < this->own.incarnation || (same && update.state <= this->own.state)) {
+        return;
+    }
+    const auto younger =
+        incarnation_start(update.incarnation) > incarnation_start(this->own.incarnation);
+    const auto elsewhere = update.datagrams != this->own.datagrams;
+    if (younger && elsewhere && this->time.now() - this->started > takeover_age) {
+        this->replaced = true;
+        this->own.state = member_state::dead;
+        this->stop();
+        this->notify(this->own);
+        return;
+    }
+    ++this->counts.refutations;
+    this->raise_incarnation(update.incarnation);
+    this->spread_now(this->own, forward_fanout);
+}
+
+void swim_membership::raise_incarnation(std::uint64_t above)
+{
+    this->own.incarnation = std::max(this->own.incarnation, above) + 1;
+}
+
+void swim_membership::announce_leaving()
+{
+    if (this->own.state != member_state::alive) {
+        return;
+    }
+    this->own.state = member_state::leaving;
+    this->raise_incarnation(this->own.incarnation);
+    this->spread_now(this->own, leaving_fanout);
+    this->notify(this->own);
+}
+
+void swim_membership::suspect(const node_id& id)
+{
+    auto* entry = this->table->find(id);
+    if (entry == nullptr || entry->record.state == member_state::dead) {
+        return;
+    }
+    ++this->counts.suspicions;
+    const auto deadline = this->time.now() + this->suspicion_time();
+    entry->suspected_until = std::min(entry->suspected_until.value_or(deadline), deadline);
+    entry->accused_here = true;
+    if (entry->record.state != member_state::alive) {
+        return;
+    }
+    entry->record.state = member_state::suspect;
+    const auto changed = entry->record;
+    this->spread(changed);
+    this->send(changed.datagrams, no_body{}, {changed});
+    this->notify(changed);
+}
+
+void swim_membership::declare_dead(const node_id& id)
+{
+    ++this->counts.declared_dead;
+    auto verdict = this->table->find(id)->record;
+    verdict.state = member_state::dead;
+    this->apply(verdict);
+}
+
+// The own record goes with every message anyhow.
+void swim_membership::spread(const member& update)
+{
+    this->updates->push(update);
+}
+
+void swim_membership::spread_now(const member& update, std::size_t fanout)
+{
+    for (const auto& peer : this->random_peers(fanout, update.id)) {
+        this->send(peer.datagrams, no_body{}, {update});
+    }
+}
+
+static std::size_t body_bytes(const decltype(swim_message::body)& content)
+{
+    const auto* digest = std::get_if<table_digest>(&content);
+    return digest == nullptr ? 0 : digest->buckets.size() * bucket_bytes;
+}
+
+void swim_membership::send(const network_address& to, body content,
+                           const std::vector<member>& first)
+{
+    swim_message message{this->own, std::move(content), {}, {}};
+    for (const auto key : this->versions->take(this->random)) {
+        const auto* id = this->versions->find(key);
+        const auto* entry = id == nullptr ? nullptr : this->table->find(*id);
+        if (entry != nullptr) {
+            message.versions.push_back({key, entry->record.bundle});
+        }
+    }
+    std::size_t used = message_base_bytes + encoded_member_bytes(this->own) +
+                       body_bytes(message.body) + message.versions.size() * version_sample_bytes;
+    for (const auto& record : first) {
+        if (record.id != this->own.id) {
+            used += encoded_member_bytes(record);
+            message.updates.push_back(record);
+        }
+    }
+    const auto periods = std::log2(static_cast<double>(this->table->live_count() + 2));
+    const auto limit =
+        static_cast<std::uint32_t>(std::ceil(this->options.retransmit_factor * periods));
+    const auto budget = max_message_bytes - std::min(used, max_message_bytes);
+    for (auto& update : this->updates->take(budget, limit)) {
+        message.updates.push_back(std::move(update));
+    }
+    this->channel.send(to, message);
+}
+
+} // namespace eelgrassbend
