--- /dev/null
+++ b/include/eelgrassbend/peer_rpc/capnp_peer_rpc.h
@@ -0,0 +1,44 @@
+#ifndef EELGRASSBEND_PEER_RPC_CAPNP_PEER_RPC_H
+#define EELGRASSBEND_PEER_RPC_CAPNP_PEER_RPC_H
+
+#include "eelgrassbend/peers/frame_authenticator.h"
+#include "eelgrassbend/peers/peer_transport.h"
+#include "eelgrassbend/support/scheduler.h"
+
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace eelgrassbend {
+
+class rpc_runtime;
+
+/// Calls between entry nodes over Cap'n Proto RPC on TCP. Both frames of a call are sealed; the
+/// answer's seal names the call. A call that times out retires its connection, since something
+/// between the two ends may have lost track of it.
+class capnp_peer_rpc : public peer_rpc {
+public:
+    /// `runtime` belongs to the same io_context.
+    capnp_peer_rpc(boost::asio::io_context& context, rpc_runtime& runtime, scheduler& time,
+                   frame_authenticator& authenticator);
+    ~capnp_peer_rpc() override;
+
+    /// Port 0 takes any free port; the answer is the address that peers call.
+    result<network_address> listen(const network_address& address);
+    void stop();
+
+    void call(const network_address& peer, peer_method method, std::string request,
+              duration timeout, answer_handler handler) override;
+    void serve(peer_method method, method_handler handler) override;
+
+    class implementation;
+
+private:
+    std::shared_ptr<implementation> held;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/peer_rpc/asio_stream.cpp
@@ -0,0 +1,101 @@
+#include "asio_stream.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+namespace eelgrassbend {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+asio_stream::asio_stream(asio::ip::tcp::socket socket)
+    : socket(std::make_shared<asio::ip::tcp::socket>(std::move(socket)))
+{
+    error_code ignored;
+    this->socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+asio_stream::~asio_stream()
+{
+    error_code ignored;
+    this->socket->close(ignored);
+}
+
+static kj::Exception disconnected(const error_code& failure)
+{
+    return {kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__,
+            kj::heapString(failure.message().c_str())};
+}
+
+// A promise may be dropped, and its buffer with it, before the socket is done: reads go through a
+// buffer of their own.
+kj::Promise<size_t> asio_stream::tryRead(void* buffer, size_t least, size_t most)
+{
+    auto pair = kj::newPromiseAndFulfiller<size_t>();
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::PromiseFulfiller<size_t>>>(kj::mv(pair.fulfiller));
+    auto own = std::make_shared<std::vector<char>>(most);
+    asio::async_read(
+        *this->socket, asio::buffer(*own), asio::transfer_at_least(least),
+        [socket = this->socket, own, buffer, fulfiller](error_code failure, std::size_t length) {
+            if (!(*fulfiller)->isWaiting()) {
+                return;
+            }
+            std::memcpy(buffer, own->data(), length);
+            if (failure && failure != asio::error::eof) {
+                (*fulfiller)->reject(disconnected(failure));
+                return;
+            }
+            (*fulfiller)->fulfill(kj::cp(length));
+        });
+    return kj::mv(pair.promise);
+}
+
+static kj::Promise<void> write_bytes(const std::shared_ptr<asio::ip::tcp::socket>& socket,
+                                     std::string bytes)
+{
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(pair.fulfiller));
+    auto own = std::make_shared<std::string>(std::move(bytes));
+    asio::async_write(*socket, asio::buffer(*own),
+                      [socket, own, fulfiller](error_code failure, std::size_t) {
+                          if (failure) {
+                              (*fulfiller)->reject(disconnected(failure));
+                              return;
+                          }
+                          (*fulfiller)->fulfill();
+                      });
+    return kj::mv(pair.promise);
+}
+
+kj::Promise<void> asio_stream::write(const void* buffer, size_t size)
+{
+    return write_bytes(this->socket, {static_cast<const char*>(buffer), size});
+}
+
+kj::Promise<void> asio_stream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    std::string bytes;
+    for (const auto& piece : pieces) {
+        bytes.append(reinterpret_cast<const char*>(piece.begin()), piece.size());
+    }
+    return write_bytes(this->socket, std::move(bytes));
+}
+
+kj::Promise<void> asio_stream::whenWriteDisconnected()
+{
+    return kj::NEVER_DONE;
+}
+
+void asio_stream::shutdownWrite()
+{
+    error_code ignored;
+    this->socket->shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/peer_rpc/asio_stream.h
@@ -0,0 +1,38 @@
+#ifndef EELGRASSBEND_LIB_PEER_RPC_ASIO_STREAM_H
+#define EELGRASSBEND_LIB_PEER_RPC_ASIO_STREAM_H
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <kj/async-io.h>
+
+#include <memory>
+
+namespace eelgrassbend {
+
+/// An Asio socket as Cap'n Proto wants a stream.
+class asio_stream : public kj::AsyncIoStream {
+public:
+    explicit asio_stream(boost::asio::ip::tcp::socket socket);
+    asio_stream(const asio_stream&) = delete;
+    asio_stream& operator=(const asio_stream&) = delete;
+    ~asio_stream();
+
+    // The names are those of the base classes.
+    // NOLINTBEGIN(readability-identifier-naming)
+    kj::Promise<size_t> tryRead(void* buffer, size_t least, size_t most) override;
+    kj::Promise<void> write(const void* buffer, size_t size) override;
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+    kj::Promise<void> whenWriteDisconnected() override;
+    void shutdownWrite() override;
+    // NOLINTEND(readability-identifier-naming)
+
+private:
+    // Shared with operations under way, which end after the stream has gone.
+    std::shared_ptr<boost::asio::ip::tcp::socket> socket;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/peer_rpc/capnp_peer_rpc.cpp
@@ -0,0 +1,401 @@
+#include "eelgrassbend/peer_rpc/capnp_peer_rpc.h"
+
+#include "eelgrassbend/codec/kj_compare.h"
+#include "eelgrassbend/peer_rpc/rpc_runtime.h"
+#include "eelgrassbend/peers/peer_message.h"
+#include "eelgrassbend/support/hash.h"
+
+#include "asio_stream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <capnp/rpc-twoparty.h>
+
+#include "peer.capnp.h"
+
+#include <map>
+#include <vector>
+
+namespace eelgrassbend {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+static constexpr std::size_t longest_frame_bytes = 4 * 1024 * 1024;
+
+static std::string to_string(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+static capnp::Data::Reader as_data(const std::string& bytes)
+{
+    return {reinterpret_cast<const capnp::byte*>(bytes.data()), bytes.size()};
+}
+
+namespace {
+
+/// A connection to a peer; calls wait until it is open.
+struct peer_link {
+    bool open = false;
+    std::vector<std::function<void()>> waiting;
+    kj::Own<asio_stream> stream;
+    kj::Own<capnp::TwoPartyClient> client;
+};
+
+/// A call that has not been answered.
+struct pending_call {
+    network_address peer;
+    peer_rpc::answer_handler handler;
+    timer_id expiry;
+    std::string frame;
+    bool sent = false;
+};
+
+} // namespace
+
+class capnp_peer_rpc::implementation
+    : public std::enable_shared_from_this<capnp_peer_rpc::implementation>,
+      public kj::TaskSet::ErrorHandler {
+public:
+    implementation(asio::io_context& context, scheduler& time, frame_authenticator& authenticator)
+        : context(context),
+          time(time),
+          authenticator(authenticator),
+          acceptor(context),
+          tasks(*this)
+    {
+    }
+
+    result<network_address> listen(const network_address& address);
+    void stop();
+    void call(const network_address& peer, peer_method method, const std::string& request,
+              duration timeout, answer_handler handler);
+    /// Answers a sealed call with a sealed answer.
+    kj::Promise<std::string> answer(const std::string& frame);
+
+    std::map<peer_method, method_handler> handlers;
+
+private:
+    using call_ptr = std::shared_ptr<pending_call>;
+
+    void accept_next();
+    void with_link(const network_address& peer, std::function<void()> action);
+    void connected(const network_address& peer, const std::shared_ptr<peer_link>& link,
+                   tcp::socket socket, error_code failure);
+    void send(const call_ptr& pending);
+    void answered(const call_ptr& pending, const std::string& frame);
+    void finish(const call_ptr& pending, result<std::string> answer);
+    void retire(const network_address& peer);
+
+    void taskFailed(kj::Exception&&) override {} // NOLINT(readability-identifier-naming)
+
+    asio::io_context& context;
+    scheduler& time;
+    frame_authenticator& authenticator;
+    tcp::acceptor acceptor;
+    std::string own_address;
+    std::map<network_address, std::shared_ptr<peer_link>> links;
+    std::unique_ptr<capnp::TwoPartyServer> server;
+    kj::TaskSet tasks;
+};
+
+namespace {
+
+/// What peers see of this node.
+class call_server : public wire::PeerCalls::Server {
+public:
+    explicit call_server(std::weak_ptr<capnp_peer_rpc::implementation> owner)
+        : owner(std::move(owner))
+    {
+    }
+
+    kj::Promise<void> call(CallContext context) override
+    {
+        const auto target = this->owner.lock();
+        if (!target) {
+            return KJ_EXCEPTION(DISCONNECTED, "the node has stopped");
+        }
+        return target->answer(to_string(context.getParams().getFrame()))
+            .then([context](const std::string& frame) mutable {
+                context.getResults().setFrame(as_data(frame));
+            });
+    }
+
+private:
+    std::weak_ptr<capnp_peer_rpc::implementation> owner;
+};
+
+} // namespace
+
+result<network_address> capnp_peer_rpc::implementation::listen(const network_address& address)
+{
+    error_code failure;
+    const auto ip = asio::ip::make_address(address.ip, failure);
+    if (failure) {
+        return make_error(errc::invalid_argument, "listen for peers", address.to_string());
+    }
+    const tcp::endpoint endpoint{ip, address.port};
+    this->acceptor.open(endpoint.protocol(), failure);
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (this->acceptor.bind(endpoint, failure) || this->acceptor.listen(64, failure)) {
+        return error{failure, "listen for peers", address.to_string(), {}};
+    }
+    const network_address bound{address.ip, this->acceptor.local_endpoint().port()};
+    this->own_address = bound.to_string();
+    this->server =
+        std::make_unique<capnp::TwoPartyServer>(kj::heap<call_server>(this->weak_from_this()));
+    this->accept_next();
+    return bound;
+}
+
+void capnp_peer_rpc::implementation::accept_next()
+{
+    std::weak_ptr<implementation> weak = this->shared_from_this();
+    this->acceptor.async_accept([weak](error_code failure, tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || !self->acceptor.is_open()) {
+            return;
+        }
+        if (!failure) {
+            self->server->accept(kj::heap<asio_stream>(std::move(socket)));
+        }
+        self->accept_next();
+    });
+}
+
+void capnp_peer_rpc::implementation::stop()
+{
+    error_code ignored;
+    this->acceptor.close(ignored);
+    this->links.clear();
+    this->server.reset();
+    this->handlers.clear();
+}
+
+// The answer is sealed for the digest of the call's frame: it fits no other call.
+kj::Promise<std::string> capnp_peer_rpc::implementation::answer(const std::string& frame)
+{
+    const auto digest = sha256_hex(frame);
+    const auto seal = [this, digest](const result<std::string>& body) -> std::string {
+        auto sealed = this->authenticator.seal(digest, encode_answer(body));
+        return sealed ? std::move(sealed.value()) : std::string{};
+    };
+    if (frame.size() > longest_frame_bytes) {
+        return std::string{};
+    }
+    auto opened = this->authenticator.open(this->own_address, frame);
+    if (!opened) {
+        // Whoever cannot seal a call learns nothing.
+        return std::string{};
+    }
+    auto call = decode_call(opened.value().bytes);
+    if (!call) {
+        return seal(call.error());
+    }
+    const auto found = this->handlers.find(static_cast<peer_method>(call.value().method));
+    if (found == this->handlers.end()) {
+        return seal(make_error(errc::not_found, "serve peer call", this->own_address));
+    }
+    auto pair = kj::newPromiseAndFulfiller<std::string>();
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::PromiseFulfiller<std::string>>>(kj::mv(pair.fulfiller));
+    std::weak_ptr<implementation> weak = this->shared_from_this();
+    found->second(call.value().body, [weak, fulfiller, seal](result<std::string> body) {
+        if (!weak.expired()) {
+            (*fulfiller)->fulfill(seal(body));
+        }
+    });
+    return kj::mv(pair.promise);
+}
+
+void capnp_peer_rpc::implementation::call(const network_address& peer, peer_method method,
+                                          const std::string& request, duration timeout,
+                                          answer_handler handler)
+{
+    const auto pending = std::make_shared<pending_call>();
+    pending->peer = peer;
+    pending->handler = std::move(handler);
+    auto sealed = this->authenticator.seal(
+        peer.to_string(), encode_call({static_cast<std::uint16_t>(method), request}));
+    std::weak_ptr<implementation> weak = this->shared_from_this();
+    if (!sealed) {
+        asio::post(this->context, [weak, pending, reason = sealed.error()] {
+            if (const auto self = weak.lock()) {
+                self->finish(pending, reason);
+            }
+        });
+        return;
+    }
+    pending->frame = std::move(sealed.value());
+    pending->expiry = this->time.call_after(timeout, [weak, pending] {
+        const auto self = weak.lock();
+        if (!self || !pending->handler) {
+            return;
+        }
+        self->retire(pending->peer);
+        self->finish(pending, make_error(pending->sent ? errc::timed_out : errc::unavailable,
+                                         "call peer", pending->peer.to_string()));
+    });
+    this->with_link(peer, [weak, pending] {
+        if (const auto self = weak.lock()) {
+            self->send(pending);
+        }
+    });
+}
+
+void capnp_peer_rpc::implementation::with_link(const network_address& peer,
+                                               std::function<void()> action)
+{
+    auto& link = this->links[peer];
+    if (link) {
+        if (link->open) {
+            action();
+            return;
+        }
+        link->waiting.push_back(std::move(action));
+        return;
+    }
+    link = std::make_shared<peer_link>();
+    link->waiting.push_back(std::move(action));
+    error_code failure;
+    const auto ip = asio::ip::make_address(peer.ip, failure);
+    auto socket = std::make_shared<tcp::socket>(this->context);
+    std::weak_ptr<implementation> weak = this->shared_from_this();
+    socket->async_connect({ip, peer.port}, [weak, peer, link, socket](error_code connect_failure) {
+        if (const auto self = weak.lock()) {
+            self->connected(peer, link, std::move(*socket), connect_failure);
+        }
+    });
+}
+
+void capnp_peer_rpc::implementation::connected(const network_address& peer,
+                                               const std::shared_ptr<peer_link>& link,
+                                               tcp::socket socket, error_code failure)
+{
+    const auto current = this->links.find(peer);
+    const bool retired = current == this->links.end() || current->second != link;
+    const auto waiting = std::exchange(link->waiting, {});
+    if (failure && !retired) {
+        this->links.erase(current);
+    }
+    if (!failure && !retired) {
+        link->stream = kj::heap<asio_stream>(std::move(socket));
+        link->client = kj::heap<capnp::TwoPartyClient>(*link->stream);
+        link->open = true;
+    }
+    for (const auto& action : waiting) {
+        action();
+    }
+}
+
+void capnp_peer_rpc::implementation::send(const call_ptr& pending)
+{
+    if (!pending->handler) {
+        return;
+    }
+    const auto found = this->links.find(pending->peer);
+    if (found == this->links.end() || !found->second->open) {
+        this->finish(pending, make_error(errc::unavailable, "call peer", pending->peer.to_string(),
+                                         "cannot connect"));
+        return;
+    }
+    const auto link = found->second;
+    auto request = link->client->bootstrap().castAs<wire::PeerCalls>().callRequest();
+    request.setFrame(as_data(pending->frame));
+    pending->sent = true;
+    std::weak_ptr<implementation> weak = this->shared_from_this();
+    auto sent = request.send().then(
+        [weak, pending](const capnp::Response<wire::PeerCalls::CallResults>& response) {
+            if (const auto self = weak.lock()) {
+                self->answered(pending, to_string(response.getFrame()));
+            }
+        },
+        [weak, pending, link](const kj::Exception& failure) {
+            const auto self = weak.lock();
+            if (!self || !pending->handler) {
+                return;
+            }
+            self->retire(pending->peer);
+            self->finish(pending,
+                         make_error(errc::outcome_unknown, "call peer", pending->peer.to_string(),
+                                    failure.getDescription().cStr()));
+        });
+    this->tasks.add(kj::mv(sent));
+}
+
+void capnp_peer_rpc::implementation::answered(const call_ptr& pending, const std::string& frame)
+{
+    const auto fail = [&](error reason) {
+        reason.step = "call peer";
+        reason.peer = pending->peer.to_string();
+        this->finish(pending, std::move(reason));
+    };
+    auto opened = this->authenticator.open(sha256_hex(pending->frame), frame);
+    if (!opened) {
+        fail(opened.error());
+        return;
+    }
+    auto answer = decode_answer(opened.value().bytes);
+    if (!answer) {
+        fail(answer.error());
+        return;
+    }
+    if (answer.value().failure.code) {
+        this->finish(pending, std::move(answer.value().failure));
+        return;
+    }
+    this->finish(pending, std::move(answer.value().body));
+}
+
+void capnp_peer_rpc::implementation::finish(const call_ptr& pending, result<std::string> answer)
+{
+    if (auto handler = std::exchange(pending->handler, nullptr)) {
+        this->time.cancel(pending->expiry);
+        handler(std::move(answer));
+    }
+}
+
+// The connection may be in the middle of calling us, so it is destroyed later.
+void capnp_peer_rpc::implementation::retire(const network_address& peer)
+{
+    auto found = this->links.extract(peer);
+    if (!found.empty()) {
+        asio::post(this->context, [link = std::move(found.mapped())] {});
+    }
+}
+
+capnp_peer_rpc::capnp_peer_rpc(asio::io_context& context, rpc_runtime&, scheduler& time,
+                               frame_authenticator& authenticator)
+    : held(std::make_shared<implementation>(context, time, authenticator))
+{
+}
+
+capnp_peer_rpc::~capnp_peer_rpc()
+{
+    this->held->stop();
+}
+
+result<network_address> capnp_peer_rpc::listen(const network_address& address)
+{
+    return this->held->listen(address);
+}
+
+void capnp_peer_rpc::stop()
+{
+    this->held->stop();
+}
+
+void capnp_peer_rpc::call(const network_address& peer, peer_method method, std::string request,
+                          duration timeout, answer_handler handler)
+{
+    this->held->call(peer, method, request, timeout, std::move(handler));
+}
+
+void capnp_peer_rpc::serve(peer_method method, method_handler handler)
+{
+    this->held->handlers[method] = std::move(handler);
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/unittests/peer_rpc/capnp_peer_rpc_test.cpp
@@ -0,0 +1,199 @@
+#include "eelgrassbend/net/asio_datagrams.h"
+#include "eelgrassbend/net/asio_scheduler.h"
+#include "eelgrassbend/peer_rpc/capnp_peer_rpc.h"
+#include "eelgrassbend/peer_rpc/rpc_runtime.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One node with its keys.
+struct rpc_node {
+    rpc_node(boost::asio::io_context& context, rpc_runtime& runtime, scheduler& time,
+             random_source& random, const std::string& secret)
+        : authenticator(keys, time, random), rpc(context, runtime, time, authenticator)
+    {
+        BOOST_REQUIRE(keys.replace({{peer_key_id{1}, secret}}, peer_key_id{1}).has_value());
+        this->address = this->rpc.listen({"127.0.0.1", 0}).value();
+    }
+
+    peer_key_ring keys;
+    frame_authenticator authenticator;
+    capnp_peer_rpc rpc;
+    network_address address;
+};
+
+struct rpc_fixture {
+    bool run_until(const std::function<bool()>& done)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+        while (!done() && std::chrono::steady_clock::now() < end) {
+            this->context.run_one_for(milliseconds{20});
+            this->context.restart();
+        }
+        return done();
+    }
+
+    result<std::string> call(rpc_node& from, const network_address& to, const std::string& text,
+                             milliseconds timeout = milliseconds{2000})
+    {
+        std::optional<result<std::string>> answer;
+        from.rpc.call(to, peer_method::claim, text, timeout,
+                      [&](result<std::string> got) { answer = std::move(got); });
+        BOOST_REQUIRE(this->run_until([&] { return answer.has_value(); }));
+        return *answer;
+    }
+
+    boost::asio::io_context context{1};
+    rpc_runtime runtime{context};
+    asio_scheduler time{context};
+    seeded_random random{5};
+};
+
+} // namespace
+
+static const std::string secret = "0123456789abcdef";
+
+BOOST_FIXTURE_TEST_CASE(a_call_gets_its_own_answer, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    rpc_node b{context, runtime, time, random, secret};
+    b.rpc.serve(peer_method::claim,
+                [](const std::string& text, const auto& answer) { answer("got " + text); });
+    BOOST_TEST(this->call(a, b.address, "one").value() == "got one");
+    const std::string large(200'000, 'x');
+    BOOST_TEST(this->call(a, b.address, large).value().size() == large.size() + 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_come_to_their_calls_in_any_order, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    rpc_node b{context, runtime, time, random, secret};
+    std::vector<peer_rpc::answer_handler> kept;
+    b.rpc.serve(peer_method::claim,
+                [&](const std::string&, const peer_rpc::answer_handler& answer) {
+                    kept.push_back(answer);
+                });
+    std::string first;
+    std::string second;
+    a.rpc.call(b.address, peer_method::claim, "1", milliseconds{5000},
+               [&](const result<std::string>& got) { first = got.value(); });
+    a.rpc.call(b.address, peer_method::claim, "2", milliseconds{5000},
+               [&](const result<std::string>& got) { second = got.value(); });
+    BOOST_REQUIRE(this->run_until([&] { return kept.size() == 2; }));
+    kept[1](std::string{"second"});
+    kept[0](std::string{"first"});
+    BOOST_REQUIRE(this->run_until([&] { return !first.empty() && !second.empty(); }));
+    BOOST_TEST(first == "first");
+    BOOST_TEST(second == "second");
+}
+
+BOOST_FIXTURE_TEST_CASE(errors_keep_their_code_step_and_peer, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    rpc_node b{context, runtime, time, random, secret};
+    b.rpc.serve(peer_method::claim, [](const std::string&, const auto& answer) {
+        answer(make_error(errc::rate_limited, "append", "platform"));
+    });
+    const auto answer = this->call(a, b.address, "x");
+    BOOST_REQUIRE(!answer.has_value());
+    BOOST_TEST((answer.error().code == errc::rate_limited));
+    BOOST_TEST(answer.error().step == "append");
+    BOOST_TEST(answer.error().peer == "platform");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_peer_with_another_key_is_neither_served_nor_believed, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    rpc_node stranger{context, runtime, time, random, "fedcba9876543210"};
+    bool served = false;
+    a.rpc.serve(peer_method::claim, [&](const std::string&, const auto& answer) {
+        served = true;
+        answer(std::string{"secret"});
+    });
+    BOOST_TEST(!this->call(stranger, a.address, "x").has_value());
+    BOOST_TEST(!served);
+    stranger.rpc.serve(peer_method::claim, [](const std::string&, const auto& answer) {
+        answer(std::string{"forged"});
+    });
+    BOOST_TEST(!this->call(a, stranger.address, "x").has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_dead_peer_is_unavailable, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    network_address nobody;
+    {
+        rpc_node b{context, runtime, time, random, secret};
+        nobody = b.address;
+    }
+    BOOST_TEST((this->call(a, nobody, "x").error().code == errc::unavailable));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_connection_is_retired_at_its_first_timeout, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    rpc_node b{context, runtime, time, random, secret};
+    bool silent = true;
+    std::vector<peer_rpc::answer_handler> unanswered;
+    b.rpc.serve(peer_method::claim,
+                [&](const std::string&, const peer_rpc::answer_handler& answer) {
+                    if (silent) {
+                        unanswered.push_back(answer);
+                        return;
+                    }
+                    answer(std::string{"ok"});
+                });
+    const auto lost = this->call(a, b.address, "x", milliseconds{100});
+    BOOST_TEST((lost.error().code == errc::timed_out));
+    silent = false;
+    BOOST_TEST(this->call(a, b.address, "x").value() == "ok");
+}
+
+BOOST_FIXTURE_TEST_CASE(bytes_that_are_no_call_harm_nobody, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    rpc_node b{context, runtime, time, random, secret};
+    b.rpc.serve(peer_method::claim,
+                [](const std::string&, const auto& answer) { answer(std::string{"ok"}); });
+    for (int round = 0; round < 20; ++round) {
+        boost::asio::ip::tcp::socket socket{this->context};
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), b.address.port});
+        std::string noise;
+        for (int index = 0; index < 256; ++index) {
+            noise += static_cast<char>(this->random());
+        }
+        boost::system::error_code failure;
+        socket.send(boost::asio::buffer(noise), 0, failure);
+        this->context.run_for(milliseconds{2});
+        this->context.restart();
+    }
+    BOOST_TEST(this->call(a, b.address, "x").value() == "ok");
+}
+
+BOOST_FIXTURE_TEST_CASE(datagrams_arrive_with_their_sender, rpc_fixture)
+{
+    asio_datagrams a{this->context};
+    asio_datagrams b{this->context};
+    const auto from = a.listen({"127.0.0.1", 0}).value();
+    const auto to = b.listen({"127.0.0.1", 0}).value();
+    std::string seen;
+    network_address sender;
+    b.set_receiver([&](const network_address& address, const std::string& bytes) {
+        sender = address;
+        seen = bytes;
+    });
+    a.send(to, "hello");
+    BOOST_TEST(this->run_until([&] { return seen == "hello"; }));
+    BOOST_TEST((sender == from));
+}
+
+} // namespace eelgrassbend
