--- a/include/eelgrassbend/ledger/ledger.h
+++ b/include/eelgrassbend/ledger/ledger.h
@@ -31,8 +31,15 @@
     using done_handler = std::function<void(result<void>)>;
 
     virtual ~ledger() = default;
+
+    /// Whether there is room for the lines of new requests. Lines wait for the log in bounded
+    /// memory; while this is false, new billable requests must be refused as not-run.
+    [[nodiscard]] virtual bool accepts_work() const { return true; }
+
     /// Before the last byte is sent: done once replicas in other availability zones hold the
-    /// line, or with an error after a bounded time; the answer then goes out unbilled.
+    /// line, or with an error after a bounded time; the answer then goes out unbilled. Fails at
+    /// once at the bound of waiting lines. A line whose intent succeeded must be confirmed or
+    /// cancelled.
     virtual void intend(const ledger_line& line, done_handler handler) = 0;
     /// After the caller's side has acknowledged every byte.
     virtual void confirm(const request_id& request) = 0;
--- a/proto/ledger.capnp
+++ b/proto/ledger.capnp
@@ -21,12 +21,14 @@
 # Entry node to entry node: keep these lines until they are dropped.
 struct Store {
   origin @0 :Text;
-  intended @1 :List(Line);
-  confirmed @2 :List(Line);
+  session @1 :UInt64;     # differs from process to process of the same name
+  intended @2 :List(Line);
+  confirmed @3 :List(Line);
 }
 
 # Entry node to entry node: these lines are in the log or will never be billed.
 struct Drop {
   origin @0 :Text;
-  requests @1 :List(Text);
+  session @1 :UInt64;
+  requests @2 :List(Text);
 }
