Hedge at once when the endpoint becomes suspected

A hedge waited for the time that 99 in 100 first tokens need, which stragglers themselves stretch. Whoever waits for a first token asks the router every 50 ms whether the endpoint is suspected, and hedges then, within the same budget.

--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -27,6 +27,7 @@
 constexpr duration drain = std::chrono::seconds{60};
 constexpr duration report_interval = std::chrono::seconds{1};
 constexpr duration peer_delay = std::chrono::milliseconds{1};
+constexpr duration hedge_check_interval = std::chrono::milliseconds{50};
 constexpr duration slot_sample = std::chrono::milliseconds{50};
 constexpr double straggler_slowdown = 6.0;
 constexpr std::size_t most_attempts = 3;
@@ -95,6 +96,7 @@
     /// False if no endpoint took the request.
     bool attempt(const flight_pointer& started);
     void plan_hedge(const flight_pointer& started, const route_decision& decision);
+    void check_hedge(const flight_pointer& started, monotonic_time due);
     void refuse(const flight_pointer& started);
     void cancel_losers(flight& won);
     void end_attempt(const attempt_id& attempt, attempt_end how);
@@ -362,15 +364,25 @@
     if (!delay) {
         return;
     }
-    this->timers.call_after(*delay, [this, started] {
-        const bool waiting = !started->winner && !started->over;
-        if (!waiting || !started->node->hedges.start(started->request.service)) {
-            return;
-        }
-        if (this->attempt(started) && started->counted) {
-            this->figures.hedged();
-        }
-    });
+    this->check_hedge(started, this->timers.now() + *delay);
+}
+
+void routing_run::check_hedge(const flight_pointer& started, monotonic_time due)
+{
+    const bool waiting = !started->winner && !started->over;
+    if (!waiting) {
+        return;
+    }
+    const bool late = this->timers.now() >= due;
+    if (!late && !started->node->router.suspected(started->request.excluded.back())) {
+        this->timers.call_after(hedge_check_interval,
+                                [this, started, due] { this->check_hedge(started, due); });
+        return;
+    }
+    const bool within_budget = started->node->hedges.start(started->request.service);
+    if (within_budget && this->attempt(started) && started->counted) {
+        this->figures.hedged();
+    }
 }
 
 void routing_run::refuse(const flight_pointer& started)
--- a/include/eelgrassbend/routing/router.h
+++ b/include/eelgrassbend/routing/router.h
@@ -84,6 +84,9 @@
     virtual void report_load(const endpoint_id& endpoint, const load_report& report) = 0;
     virtual void report_cache(const endpoint_id& endpoint, const cache_event& event) = 0;
 
+    /// Whether the endpoint is slow or makes no progress; a reason to hedge at once.
+    [[nodiscard]] virtual bool suspected(const endpoint_id& /*endpoint*/) const { return false; }
+
     /// When a refused request of the service is worth another try.
     [[nodiscard]] virtual duration retry_after(const service_id& /*service*/) const
     {
--- a/include/eelgrassbend/routing/service_router.h
+++ b/include/eelgrassbend/routing/service_router.h
@@ -29,6 +29,7 @@
     void ended(const attempt_id& attempt, attempt_end how) override;
     void report_load(const endpoint_id& endpoint, const load_report& report) override;
     void report_cache(const endpoint_id& endpoint, const cache_event& event) override;
+    [[nodiscard]] bool suspected(const endpoint_id& endpoint) const override;
     [[nodiscard]] duration retry_after(const service_id& service) const override;
 
     /// What this node has under way, for its peers.
@@ -73,7 +74,7 @@
     void refresh_bundle();
     void configure(service_state& state);
     void endpoint_changed(const endpoint_info& info);
-    [[nodiscard]] service_state* service_of(const endpoint_id& endpoint);
+    [[nodiscard]] service_state* service_of(const endpoint_id& endpoint) const;
     void learn_first_token(outstanding_attempt& attempt, monotonic_time now);
     void learn_next_token(outstanding_attempt& attempt, monotonic_time now, std::int64_t total);
 
--- a/lib/routing/service_router.cpp
+++ b/lib/routing/service_router.cpp
@@ -163,6 +163,13 @@
     }
 }
 
+bool service_router::suspected(const endpoint_id& endpoint) const
+{
+    auto* state = this->service_of(endpoint);
+    const auto index = state == nullptr ? std::nullopt : state->table.find(endpoint);
+    return index && state->table.review(*index, this->clock.now());
+}
+
 duration service_router::retry_after(const service_id& service) const
 {
     const auto found = this->services.find(service);
@@ -293,7 +300,7 @@
     this->service_by_endpoint.insert_or_assign(info.id, info.service);
 }
 
-service_router::service_state* service_router::service_of(const endpoint_id& endpoint)
+service_router::service_state* service_router::service_of(const endpoint_id& endpoint) const
 {
     const auto service = this->service_by_endpoint.find(endpoint);
     if (service == this->service_by_endpoint.end()) {
