Run the entry node as a daemon on its micro-kernel

Cause: the parts had never run together in a process. Change: decision services registered by name, I/O services beside them, a thin daemon with a planned stop; limits, discovery and dissemination are stood in for until their libraries land.

--- /dev/null
+++ b/include/eelgrassbend/entry/serving_service.h
@@ -0,0 +1,26 @@
+#ifndef EELGRASSBEND_ENTRY_SERVING_SERVICE_H
+#define EELGRASSBEND_ENTRY_SERVING_SERVICE_H
+
+#include "eelgrassbend/kernel/kernel.h"
+#include "eelgrassbend/serving/front.h"
+#include "eelgrassbend/serving/services.h"
+#include "eelgrassbend/settings/entry_settings.h"
+
+namespace eelgrassbend {
+
+/// The front of an entry node with all that it serves with.
+class serving_service : public service {
+public:
+    serving_service(const entry_settings& settings, const resolved_services& needs);
+
+    [[nodiscard]] front& door() { return this->entrance; }
+
+private:
+    serving_settings settings;
+    serving_services parts;
+    front entrance;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/entry/decision_services.cpp
@@ -0,0 +1,222 @@
+#include "eelgrassbend/entry/decision_services.h"
+
+#include "eelgrassbend/bundle/bundle_follower.h"
+#include "eelgrassbend/claims/log_claim_service.h"
+#include "eelgrassbend/endpoints/endpoint_watcher.h"
+#include "eelgrassbend/endpoints/platform_endpoint_directory.h"
+#include "eelgrassbend/entry/entry_status.h"
+#include "eelgrassbend/entry/serving_service.h"
+#include "eelgrassbend/kernel/hosted.h"
+#include "eelgrassbend/ledger/replicated_ledger.h"
+#include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/membership/swim_membership.h"
+#include "eelgrassbend/metrics/prometheus_metrics.h"
+#include "eelgrassbend/peers/peer_channel.h"
+#include "eelgrassbend/routing/service_router.h"
+#include "eelgrassbend/serving/stream_store.h"
+
+#include "interim_services.h"
+
+#include <utility>
+
+namespace eelgrassbend {
+
+namespace {
+
+/// Collects registrations and keeps the first error.
+class registrar {
+public:
+    explicit registrar(kernel& core) : core(core) {}
+
+    void add(std::string name, std::vector<std::string> dependencies, kernel::factory make)
+    {
+        auto added = this->core.add(std::move(name), std::move(dependencies), std::move(make));
+        if (!added && this->outcome) {
+            this->outcome = added.error();
+        }
+    }
+
+    result<void> outcome = boost::outcome_v2::success();
+
+private:
+    kernel& core;
+};
+
+/// The keys of the settings as a service.
+class settings_key_ring : public service, public peer_key_ring {
+public:
+    explicit settings_key_ring(const std::vector<peer_secret>& secrets)
+    {
+        std::vector<peer_key> keys;
+        for (const auto& secret : secrets) {
+            keys.push_back({peer_key_id{secret.id}, secret.secret});
+        }
+        const auto signing = keys.front().id;
+        this->valid = this->replace(std::move(keys), signing).has_value();
+    }
+
+    bool valid = false;
+};
+
+} // namespace
+
+static member describe_self(const entry_settings& settings)
+{
+    member self;
+    self.id = settings.node;
+    self.region = settings.region;
+    self.zone = settings.zone;
+    self.callers = settings.callers;
+    self.calls = settings.calls;
+    self.datagrams = settings.datagrams;
+    return self;
+}
+
+static void add_peers(registrar& services, const entry_settings& settings)
+{
+    services.add("peer_keys", {}, [settings](const resolved_services&) {
+        return std::make_shared<settings_key_ring>(settings.peer_keys);
+    });
+    services.add("authenticator", {"peer_keys", "scheduler", "random"},
+                 [](const resolved_services& needs) {
+                     return std::make_shared<hosted<frame_authenticator>>(
+                         needs.get<peer_key_ring>("peer_keys"), needs.get<scheduler>("scheduler"),
+                         needs.get<random_source>("random"));
+                 });
+    services.add("peer_channel", {"datagrams", "authenticator"},
+                 [settings](const resolved_services& needs) {
+                     return std::make_shared<hosted<peer_channel>>(
+                         needs.get<datagram_transport>("datagrams"),
+                         needs.get<frame_authenticator>("authenticator"), settings.datagrams);
+                 });
+    services.add("membership", {"peer_channel", "scheduler", "random", "host_list"},
+                 [settings](const resolved_services& needs) {
+                     return std::make_shared<hosted<swim_membership>>(
+                         describe_self(settings), swim_options{},
+                         needs.get<peer_channel>("peer_channel"), needs.get<scheduler>("scheduler"),
+                         needs.get<random_source>("random"), needs.get<host_list>("host_list"));
+                 });
+    services.add("dissemination", {}, [](const resolved_services&) {
+        return std::make_shared<hosted<silent_dissemination>>();
+    });
+}
+
+static std::shared_ptr<service> make_bundles(const entry_settings& settings,
+                                             const resolved_services& needs)
+{
+    bundle_follower_options options;
+    options.staleness_bound = settings.bundle_staleness;
+    auto follower = std::make_shared<hosted<bundle_follower>>(
+        options, operator_set{settings.trusted_operators, 1}, needs.get<scheduler>("scheduler"),
+        needs.get<random_source>("random"), needs.get<log_client>("platform_log"),
+        needs.get<event_log>("event_log"), needs.get<peer_rpc>("peer_rpc"),
+        needs.get<membership>("membership"), needs.get<dissemination>("dissemination"));
+    auto& members = needs.get<swim_membership>("membership");
+    follower->on_change([&members](const std::shared_ptr<const bundle>& in_force) {
+        members.set_bundle_version(in_force->version);
+    });
+    return follower;
+}
+
+static void add_agreement(registrar& services, const entry_settings& settings)
+{
+    const std::vector<std::string> log_users{"scheduler", "random",     "platform_log",
+                                             "peer_rpc",  "membership", "event_log"};
+    auto follower_needs = log_users;
+    follower_needs.emplace_back("dissemination");
+    services.add("bundles", follower_needs, [settings](const resolved_services& needs) {
+        return make_bundles(settings, needs);
+    });
+    services.add("claims", log_users, [](const resolved_services& needs) {
+        return std::make_shared<log_claim_service>(
+            claim_settings{},
+            claim_dependencies{
+                needs.get<scheduler>("scheduler"), needs.get<random_source>("random"),
+                needs.get<log_client>("platform_log"), needs.get<peer_rpc>("peer_rpc"),
+                needs.get<membership>("membership"), needs.get<event_log>("event_log")});
+    });
+    services.add("ledger", log_users, [](const resolved_services& needs) {
+        return std::make_shared<replicated_ledger>(
+            ledger_settings{},
+            ledger_dependencies{
+                needs.get<scheduler>("scheduler"), needs.get<random_source>("random"),
+                needs.get<log_client>("platform_log"), needs.get<peer_rpc>("peer_rpc"),
+                needs.get<membership>("membership"), needs.get<event_log>("event_log")});
+    });
+}
+
+static void add_routing(registrar& services, const entry_settings& settings)
+{
+    services.add(
+        "endpoints",
+        {"scheduler", "random", "host_list", "cloud_api", "dissemination", "event_log",
+         "membership"},
+        [](const resolved_services& needs) {
+            auto& members = needs.get<membership>("membership");
+            return std::make_shared<hosted<platform_endpoint_directory>>(
+                needs.get<scheduler>("scheduler"), needs.get<random_source>("random"),
+                needs.get<host_list>("host_list"), needs.get<cloud_api>("cloud_api"),
+                needs.get<dissemination>("dissemination"), needs.get<event_log>("event_log"),
+                [&members] { return members.peers().size() + 1; }, endpoint_directory_settings{});
+        });
+    services.add("router", {"scheduler", "random", "endpoints", "bundles"},
+                 [](const resolved_services& needs) {
+                     return std::make_shared<hosted<service_router>>(
+                         needs.get<scheduler>("scheduler"), needs.get<random_source>("random"),
+                         needs.get<endpoint_directory>("endpoints"),
+                         needs.get<bundle_view>("bundles"));
+                 });
+    services.add("watcher", {"scheduler", "endpoint_probe", "router", "endpoints"},
+                 [settings](const resolved_services& needs) {
+                     auto& endpoints = needs.get<platform_endpoint_directory>("endpoints");
+                     return std::make_shared<hosted<endpoint_watcher>>(
+                         needs.get<scheduler>("scheduler"),
+                         needs.get<endpoint_probe>("endpoint_probe"), needs.get<router>("router"),
+                         [&endpoints] { return endpoints.all(); }, settings.endpoint_poll_interval);
+                 });
+    services.add("limits", {},
+                 [](const resolved_services&) { return std::make_shared<hosted<open_limiter>>(); });
+    services.add("entries", {"membership"}, [settings](const resolved_services& needs) {
+        return std::make_shared<hosted<all_entries>>(needs.get<membership>("membership"),
+                                                     settings.entries_time_to_live);
+    });
+}
+
+static void add_serving(registrar& services, const entry_settings& settings)
+{
+    services.add("metrics", {}, [](const resolved_services&) {
+        return std::make_shared<hosted<prometheus_metrics>>();
+    });
+    services.add("streams", {"scheduler", "peer_rpc", "membership"},
+                 [](const resolved_services& needs) {
+                     return std::make_shared<hosted<stream_store>>(
+                         needs.get<scheduler>("scheduler"), needs.get<peer_rpc>("peer_rpc"),
+                         needs.get<membership>("membership"), stream_store_settings{});
+                 });
+    services.add("status", {"bundles", "membership", "endpoints", "ledger", "metrics"},
+                 [](const resolved_services& needs) {
+                     return std::make_shared<hosted<entry_status>>(
+                         needs.get<bundle_view>("bundles"), needs.get<membership>("membership"),
+                         needs.get<platform_endpoint_directory>("endpoints"),
+                         needs.get<ledger>("ledger"), needs.get<prometheus_metrics>("metrics"));
+                 });
+    services.add("serving",
+                 {"scheduler", "random", "event_log", "metrics", "bundles", "limits", "router",
+                  "endpoints", "endpoint_client", "claims", "ledger", "streams", "entries",
+                  "status", "watcher"},
+                 [settings](const resolved_services& needs) {
+                     return std::make_shared<serving_service>(settings, needs);
+                 });
+}
+
+result<void> add_decision_services(kernel& core, const entry_settings& settings)
+{
+    registrar services{core};
+    add_peers(services, settings);
+    add_agreement(services, settings);
+    add_routing(services, settings);
+    add_serving(services, settings);
+    return services.outcome;
+}
+
+} // namespace eelgrassbend
