Put the stand-ins into a namespace of their own

The product has an http_server, http_request and http_session too; one program that links both would have had two classes of one name, which no linker tells. All of lib/standin is in eelgrassbend::standin; 17 cases pass as before.

--- a/include/eelgrassbend/standin/engine_standin.h
+++ b/include/eelgrassbend/standin/engine_standin.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 enum class endpoint_mode { model, plain };
 
@@ -42,6 +42,6 @@
     std::unique_ptr<implementation> inner;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/include/eelgrassbend/standin/event_loop.h
+++ b/include/eelgrassbend/standin/event_loop.h
@@ -10,7 +10,7 @@
 class io_context;
 } // namespace boost::asio
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// A scheduler in real time, with the thread that runs it.
 class event_loop : public scheduler {
@@ -37,6 +37,6 @@
     std::unique_ptr<implementation> inner;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/include/eelgrassbend/standin/http_server.h
+++ b/include/eelgrassbend/standin/http_server.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using http_fields = std::vector<std::pair<std::string, std::string>>;
 
@@ -70,6 +70,6 @@
     std::shared_ptr<implementation> inner;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/include/eelgrassbend/standin/listen_address.h
+++ b/include/eelgrassbend/standin/listen_address.h
@@ -5,11 +5,11 @@
 
 #include <string>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// Parses "ip:port". Throws std::invalid_argument.
 network_address parse_listen_address(const std::string& text);
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/include/eelgrassbend/standin/platform_standin.h
+++ b/include/eelgrassbend/standin/platform_standin.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 struct platform_standin_settings {
     std::string ip = "127.0.0.1";
@@ -43,6 +43,6 @@
     std::unique_ptr<implementation> inner;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/cloud_account.cpp
+++ b/lib/standin/cloud_account.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// Longest lag of the host list.
 static constexpr duration history_span = std::chrono::minutes{10};
@@ -150,4 +150,4 @@
             this->all_notices.end()};
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/cloud_account.h
+++ b/lib/standin/cloud_account.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// One host as the platform lists it.
 struct listed_host {
@@ -94,6 +94,6 @@
     std::deque<snapshot> history;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/endpoint.h
+++ b/lib/standin/endpoint.h
@@ -9,7 +9,7 @@
 #include <cstdint>
 #include <memory>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// Faults that an endpoint shows from here on.
 struct endpoint_faults {
@@ -35,6 +35,6 @@
 /// Answers with a JSON object that holds `message` as "error".
 void refuse(http_answer& answer, int status, const std::string& message, http_fields fields = {});
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/engine_standin.cpp
+++ b/lib/standin/engine_standin.cpp
@@ -10,7 +10,7 @@
 #include <cstdlib>
 #include <stdexcept>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using nlohmann::json;
 
@@ -109,4 +109,4 @@
     return this->inner->server.port();
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/event_loop.cpp
+++ b/lib/standin/event_loop.cpp
@@ -9,7 +9,7 @@
 #include <csignal>
 #include <unordered_map>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 class event_loop::implementation {
 public:
@@ -80,4 +80,4 @@
     return this->inner->context;
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/execution_log.cpp
+++ b/lib/standin/execution_log.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 static constexpr std::size_t entry_limit = 200'000;
 
@@ -62,4 +62,4 @@
     return text;
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/execution_log.h
+++ b/lib/standin/execution_log.h
@@ -10,7 +10,7 @@
 #include <optional>
 #include <string>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// One attempt that began to run at an endpoint.
 struct execution {
@@ -46,6 +46,6 @@
 
 std::int64_t to_epoch_ms(wall_time time);
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/http_server.cpp
+++ b/lib/standin/http_server.cpp
@@ -7,7 +7,7 @@
 
 #include <charconv>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using boost::asio::ip::tcp;
 
@@ -109,4 +109,4 @@
     this->inner->freeze(connection_of(except));
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/http_session.cpp
+++ b/lib/standin/http_session.cpp
@@ -9,7 +9,7 @@
 #include <exception>
 #include <sstream>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 namespace http = boost::beast::http;
 
@@ -351,4 +351,4 @@
     }
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/http_session.h
+++ b/lib/standin/http_session.h
@@ -11,7 +11,7 @@
 
 #include <optional>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// One connection of a caller. Answers hold it while they are under way.
 class http_session : public std::enable_shared_from_this<http_session> {
@@ -66,6 +66,6 @@
 /// The connection that an answer goes to; null if the answer is of another server.
 const http_session* connection_of(const http_answer& answer);
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/listen_address.cpp
+++ b/lib/standin/listen_address.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <stdexcept>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 network_address parse_listen_address(const std::string& text)
 {
@@ -20,4 +20,4 @@
     throw std::invalid_argument("not an address of the form ip:port: " + text);
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/log_service.cpp
+++ b/lib/standin/log_service.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using nlohmann::json;
 
@@ -164,4 +164,4 @@
     reader.answer->send(200, body.dump(), json_fields());
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/log_service.h
+++ b/lib/standin/log_service.h
@@ -14,7 +14,7 @@
 #include <memory>
 #include <string>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// The HTTP side of the log.
 class log_service {
@@ -56,6 +56,6 @@
     std::list<waiting_read> waiting;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/model_endpoint.cpp
+++ b/lib/standin/model_endpoint.cpp
@@ -9,7 +9,7 @@
 #include <tuple>
 #include <utility>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using nlohmann::json;
 
@@ -211,4 +211,4 @@
     return describe(this->engine.state());
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/model_endpoint.h
+++ b/lib/standin/model_endpoint.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// The HTTP side of a model engine.
 class model_endpoint : public endpoint, private engine_observer {
@@ -63,6 +63,6 @@
     engine_model engine;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/model_messages.cpp
+++ b/lib/standin/model_messages.cpp
@@ -8,7 +8,7 @@
 #include <charconv>
 #include <stdexcept>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using nlohmann::json;
 
@@ -221,4 +221,4 @@
             {"tokens_per_second", report.tokens_per_second}};
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/model_messages.h
+++ b/lib/standin/model_messages.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <utility>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// The request but for its attempt. Throws if a field is missing or of a wrong type.
 engine_request parse_completion(const http_request& request, const nlohmann::json& body, bool chat);
@@ -31,6 +31,6 @@
 kv_snapshot parse_snapshot(const nlohmann::json& body);
 engine_order parse_order(const nlohmann::json& body);
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/plain_endpoint.cpp
+++ b/lib/standin/plain_endpoint.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 static load_report empty_report(const engine_standin_settings& settings)
 {
@@ -27,7 +27,7 @@
 void plain_endpoint::serve(const http_request& request, const answer_pointer& answer)
 {
     if (this->faults.refuse || this->waiting.size() >= this->settings.engine.queue_limit) {
-        eelgrassbend::refuse(*answer, 503, "no room", {{"Retry-After", "1"}});
+        standin::refuse(*answer, 503, "no room", {{"Retry-After", "1"}});
         return;
     }
     const auto entry = std::make_shared<call>(call{request, answer, nullptr});
@@ -128,4 +128,4 @@
     this->history.record(this->loop.now(), report);
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/plain_endpoint.h
+++ b/lib/standin/plain_endpoint.h
@@ -9,7 +9,7 @@
 #include <deque>
 #include <memory>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// A plain service: each call takes a time and gets a number of its own.
 class plain_endpoint : public endpoint {
@@ -48,6 +48,6 @@
     std::uint64_t finished = 0;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/platform_faults.h
+++ b/lib/standin/platform_faults.h
@@ -3,7 +3,7 @@
 
 #include "eelgrassbend/support/units.h"
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// Faults that the platform shows from here on.
 struct platform_faults {
@@ -18,6 +18,6 @@
     bool cloud_no_start = false; ///< hosts can be ordered, but do not start
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/platform_standin.cpp
+++ b/lib/standin/platform_standin.cpp
@@ -9,7 +9,7 @@
 
 #include <stdexcept>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using nlohmann::json;
 using std::chrono::milliseconds;
@@ -285,4 +285,4 @@
     return this->inner->server.port();
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/record_store.cpp
+++ b/lib/standin/record_store.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 record_store::record_store(duration retention_time, std::size_t retention_records)
     : retention_time(retention_time), retention_records(retention_records)
@@ -52,4 +52,4 @@
     return page;
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/lib/standin/record_store.h
+++ b/lib/standin/record_store.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 struct stored_record {
     std::uint64_t offset = 0;
@@ -49,6 +49,6 @@
     std::map<std::string, stream> streams;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/lib/standin/token_bucket.h
+++ b/lib/standin/token_bucket.h
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// Admits a number of actions a second; at most those of one second at once.
 class token_bucket {
@@ -34,6 +34,6 @@
     monotonic_time filled_at;
 };
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/tools/engine-standin/main.cpp
+++ b/tools/engine-standin/main.cpp
@@ -11,6 +11,7 @@
 #include <string>
 
 namespace eb = eelgrassbend;
+namespace standin = eelgrassbend::standin;
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on, as ip:port; port 0: any");
 ABSL_FLAG(std::string, name, "endpoint", "name of the endpoint");
@@ -60,20 +61,20 @@
     return settings;
 }
 
-static eb::engine_standin_settings settings_from_flags()
+static standin::engine_standin_settings settings_from_flags()
 {
     const auto mode = absl::GetFlag(FLAGS_mode);
     if (mode != "model" && mode != "plain") {
         throw std::invalid_argument("--mode is neither model nor plain");
     }
-    const auto listen = eb::parse_listen_address(absl::GetFlag(FLAGS_listen));
-    eb::engine_standin_settings settings;
+    const auto listen = standin::parse_listen_address(absl::GetFlag(FLAGS_listen));
+    standin::engine_standin_settings settings;
     settings.ip = listen.ip;
     settings.port = listen.port;
     settings.name = absl::GetFlag(FLAGS_name);
     settings.service = absl::GetFlag(FLAGS_service);
     settings.zone = absl::GetFlag(FLAGS_zone);
-    settings.mode = mode == "plain" ? eb::endpoint_mode::plain : eb::endpoint_mode::model;
+    settings.mode = mode == "plain" ? standin::endpoint_mode::plain : standin::endpoint_mode::model;
     settings.engine = engine_from_flags();
     settings.service_time = std::chrono::milliseconds{absl::GetFlag(FLAGS_service_ms)};
     settings.seed = absl::GetFlag(FLAGS_seed);
@@ -86,9 +87,9 @@
     absl::ParseCommandLine(argc, argv);
     try {
         const auto settings = settings_from_flags();
-        eb::event_loop loop;
-        const eb::engine_standin standin{settings, loop};
-        std::cout << "listening on " << settings.ip << ":" << standin.port() << std::endl;
+        standin::event_loop loop;
+        const standin::engine_standin server{settings, loop};
+        std::cout << "listening on " << settings.ip << ":" << server.port() << std::endl;
         loop.stop_on_signals();
         loop.run();
     }
--- a/tools/platform-standin/main.cpp
+++ b/tools/platform-standin/main.cpp
@@ -13,7 +13,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace eb = eelgrassbend;
+namespace standin = eelgrassbend::standin;
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "address to listen on, as ip:port; port 0: any");
 ABSL_FLAG(std::string, hosts_file, "", "JSON file with hosts and spares; empty: no hosts");
@@ -35,11 +35,11 @@
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
-static eb::platform_standin_settings settings_from_flags()
+static standin::platform_standin_settings settings_from_flags()
 {
     using std::chrono::milliseconds;
-    const auto listen = eb::parse_listen_address(absl::GetFlag(FLAGS_listen));
-    eb::platform_standin_settings settings;
+    const auto listen = standin::parse_listen_address(absl::GetFlag(FLAGS_listen));
+    standin::platform_standin_settings settings;
     settings.ip = listen.ip;
     settings.port = listen.port;
     settings.appends_per_second = absl::GetFlag(FLAGS_appends_per_second);
@@ -63,9 +63,9 @@
     absl::ParseCommandLine(argc, argv);
     try {
         const auto settings = settings_from_flags();
-        eb::event_loop loop;
-        const eb::platform_standin standin{settings, loop};
-        std::cout << "listening on " << settings.ip << ":" << standin.port() << std::endl;
+        standin::event_loop loop;
+        const standin::platform_standin server{settings, loop};
+        std::cout << "listening on " << settings.ip << ":" << server.port() << std::endl;
         loop.stop_on_signals();
         loop.run();
     }
--- a/unittests/standin/engine_standin_test.cpp
+++ b/unittests/standin/engine_standin_test.cpp
@@ -9,7 +9,7 @@
 #include <sstream>
 #include <vector>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using nlohmann::json;
 using std::chrono::milliseconds;
@@ -282,4 +282,4 @@
     BOOST_TEST(test.executions().size() == 1U);
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/unittests/standin/http_probe.cpp
+++ b/unittests/standin/http_probe.cpp
@@ -6,7 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
@@ -121,4 +121,4 @@
     return false;
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
--- a/unittests/standin/http_probe.h
+++ b/unittests/standin/http_probe.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <thread>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 /// Runs an event loop on its own thread until the end of the test.
 class loop_thread {
@@ -71,6 +71,6 @@
 /// Asks until `holds`, at most 5 s.
 bool eventually(const std::function<bool()>& holds);
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
 
 #endif
--- a/unittests/standin/platform_standin_test.cpp
+++ b/unittests/standin/platform_standin_test.cpp
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-namespace eelgrassbend {
+namespace eelgrassbend::standin {
 
 using nlohmann::json;
 using std::chrono::milliseconds;
@@ -210,4 +210,4 @@
     BOOST_TEST(exchange(test.port, "GET", "/weights/draft").status == 429);
 }
 
-} // namespace eelgrassbend
+} // namespace eelgrassbend::standin
