--- /dev/null
+++ b/lib/routing/load_estimate.cpp
@@ -0,0 +1,115 @@
+#include "eelgrassbend/routing/load_estimate.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace eelgrassbend {
+
+namespace {
+
+/// Reports older than this are not corrected any further.
+constexpr duration history_span = std::chrono::seconds{10};
+constexpr std::size_t history_limit = 256;
+constexpr double unexplained_weight = 0.3;
+/// Slots of an endpoint that has not reported.
+constexpr std::uint32_t unreported_slots = 8;
+
+} // namespace
+
+void load_estimate::dispatched(monotonic_time now, request_class size, std::int64_t uncached)
+{
+    this->remember(now);
+    ++this->own_count;
+    this->own_pending += uncached;
+    if (size == request_class::long_running) {
+        ++this->own_long_count;
+    }
+}
+
+void load_estimate::prompt_done(std::int64_t uncached)
+{
+    this->own_pending -= uncached;
+}
+
+void load_estimate::finished(monotonic_time now, request_class size)
+{
+    assert(this->own_count > 0 && "more attempts ended than were dispatched");
+    this->remember(now);
+    --this->own_count;
+    if (size == request_class::long_running) {
+        --this->own_long_count;
+    }
+}
+
+void load_estimate::reported(monotonic_time now, duration age, const load_report& report)
+{
+    const auto then = this->at(now - age);
+    const double all = static_cast<double>(report.running) + report.queued;
+    this->slot_count = report.slots;
+    const double rest = std::max(0.0, all - static_cast<double>(then.known));
+    // Digests are late too, so that differences of a few attempts come and go.
+    const double weight = this->by_peer.empty() ? 1.0 : unexplained_weight;
+    this->unexplained += (rest - this->unexplained) * weight;
+    this->unexplained_pending =
+        std::max<std::int64_t>(0, report.queued_prompt_tokens.value() - then.pending);
+}
+
+void load_estimate::peer_usage(monotonic_time now, const node_id& peer, const endpoint_usage& usage)
+{
+    this->remember(now);
+    const auto& before = this->by_peer[peer];
+    this->peer_count += std::int64_t{usage.outstanding} - before.outstanding;
+    this->peer_pending += usage.pending_prompt_tokens - before.pending_prompt_tokens;
+    if (usage.outstanding == 0 && !usage.suspected) {
+        this->by_peer.erase(peer);
+        return;
+    }
+    this->by_peer[peer] = usage;
+}
+
+std::size_t load_estimate::suspecting_peers() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->by_peer, [](const auto& entry) { return entry.second.suspected; }));
+}
+
+double load_estimate::others() const
+{
+    return static_cast<double>(this->peer_count) + this->unexplained;
+}
+
+std::uint32_t load_estimate::slots() const
+{
+    return this->slot_count == 0 ? unreported_slots : this->slot_count;
+}
+
+std::int64_t load_estimate::pending_prompt_tokens() const
+{
+    return this->own_pending + this->peer_pending + this->unexplained_pending;
+}
+
+void load_estimate::remember(monotonic_time now)
+{
+    this->history.push_back(this->current(now));
+    while (this->history.size() > history_limit ||
+           now - this->history.front().time > history_span) {
+        this->history.pop_front();
+    }
+}
+
+load_estimate::sample load_estimate::at(monotonic_time time) const
+{
+    // Each sample holds the counts until its time.
+    const auto later = std::ranges::lower_bound(this->history, time, {}, &sample::time);
+    if (later != this->history.end()) {
+        return *later;
+    }
+    return this->current(time);
+}
+
+load_estimate::sample load_estimate::current(monotonic_time time) const
+{
+    return {time, this->own_count + this->peer_count, this->own_pending + this->peer_pending};
+}
+
+} // namespace eelgrassbend
