--- a/bench/audit_experiment.cpp
+++ b/bench/audit_experiment.cpp
@@ -279,7 +279,7 @@
 
 } // namespace
 
-std::unique_ptr<experiment> make_audit()
+std::unique_ptr<experiment> make_audit_experiment()
 {
     return std::make_unique<audit_experiment>();
 }
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -11,8 +11,9 @@
 /// Each experiment has its factory in the source file of its name.
 using experiment_list = std::vector<std::unique_ptr<experiment>>;
 
-std::unique_ptr<experiment> make_audit();
-std::unique_ptr<experiment> make_load();
+std::unique_ptr<experiment> make_audit_experiment();
+std::unique_ptr<experiment> make_load_experiment();
+std::unique_ptr<experiment> make_routing_experiment();
 
 } // namespace eelgrassbend::bench
 
