--- a/include/eelgrassbend/standin/engine_standin.h
+++ b/include/eelgrassbend/standin/engine_standin.h
@@ -23,6 +23,7 @@
     engine_settings engine; ///< plain services use slots, queue_limit and load_report_lag
     duration service_time = std::chrono::milliseconds{5}; ///< plain services: time of one call
     std::uint64_t seed = 1;
+    std::string executions_file; ///< gets each execution when it ends; empty: none
 };
 
 /// Takes the place of a model engine or a plain service and speaks
--- a/lib/standin/execution_log.cpp
+++ b/lib/standin/execution_log.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
+
 namespace eelgrassbend::standin {
 
 static constexpr std::size_t entry_limit = 200'000;
@@ -11,6 +13,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
 }
 
+execution_log::execution_log(const std::string& file)
+{
+    if (file.empty()) {
+        return;
+    }
+    this->file.open(file, std::ios::app);
+    if (!this->file) {
+        throw std::runtime_error("open executions file: " + file);
+    }
+}
+
 std::shared_ptr<execution> execution_log::start(const http_request& request,
                                                 const std::string& service, wall_time now)
 {
@@ -52,6 +65,15 @@
     return line;
 }
 
+void execution_log::ended(const execution& entry)
+{
+    if (!this->file.is_open()) {
+        return;
+    }
+    const auto line = describe(entry);
+    this->file << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << std::endl;
+}
+
 std::string execution_log::lines() const
 {
     std::string text;
--- a/lib/standin/execution_log.h
+++ b/lib/standin/execution_log.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,14 +35,20 @@
 /// Remembers executions for comparison with the ledger; forgets the oldest beyond a limit.
 class execution_log {
 public:
+    /// Appends each execution to `file` when it ends, so that it outlives the process; an empty
+    /// name keeps no file. Throws std::runtime_error if the file cannot be opened.
+    explicit execution_log(const std::string& file);
     /// Fills in what the request says, and the start.
     std::shared_ptr<execution> start(const http_request& request, const std::string& service,
                                      wall_time now);
+    /// The answer of an execution is complete; to be told before its last byte is sent.
+    void ended(const execution& entry);
     /// One JSON object a line.
     [[nodiscard]] std::string lines() const;
 
 private:
     std::deque<std::shared_ptr<execution>> entries;
+    std::ofstream file;
 };
 
 std::int64_t to_epoch_ms(wall_time time);
--- a/lib/standin/model_endpoint.cpp
+++ b/lib/standin/model_endpoint.cpp
@@ -133,6 +133,7 @@
     record.output_tokens = usage.output_tokens.value();
     record.cached_tokens = usage.cached_tokens.value();
     record.resumed_tokens = usage.resumed_tokens.value();
+    this->executions.ended(record);
 }
 
 void model_endpoint::finished(const attempt_id& attempt, const engine_usage& usage,
--- a/lib/standin/plain_endpoint.cpp
+++ b/lib/standin/plain_endpoint.cpp
@@ -72,6 +72,7 @@
     const auto body = this->answer_body(entry->request);
     entry->record->ended_ms = to_epoch_ms(this->loop.wall_now());
     entry->record->digest = sha256_hex(body);
+    this->executions.ended(*entry->record);
     if (this->faults.truncate_after_tokens >= 0) {
         this->send_truncated(entry, body);
     }
--- a/tools/engine-standin/main.cpp
+++ b/tools/engine-standin/main.cpp
@@ -35,6 +35,7 @@
 ABSL_FLAG(std::int64_t, weight_bytes, 16'000'000'000, "size of a model's weights");
 ABSL_FLAG(double, weight_bytes_per_second, 2.0e9, "rate at which weights are loaded");
 ABSL_FLAG(bool, checks_fencing, true, "refuse orders with an old fencing token");
+ABSL_FLAG(std::string, executions_file, "", "file that gets each execution when it ends");
 ABSL_FLAG(std::int64_t, service_ms, 5, "plain: time of a call that does not say its own");
 
 static eb::engine_settings engine_from_flags()
@@ -78,6 +79,7 @@
     settings.engine = engine_from_flags();
     settings.service_time = std::chrono::milliseconds{absl::GetFlag(FLAGS_service_ms)};
     settings.seed = absl::GetFlag(FLAGS_seed);
+    settings.executions_file = absl::GetFlag(FLAGS_executions_file);
     return settings;
 }
 
