Hold the limits of organisations over the nodes of their shard

An organisation's rate, concurrency and cost an hour hold for all nodes together, without a store of our own. Each node admits by its share; shares follow the recent demand, are told to the others twice a second, and are raised only into what the others' last messages leave. The share of a node that is gone counts as used for 3 s and then returns.

--- /dev/null
+++ b/include/eelgrassbend/limits/limit_peers.h
@@ -0,0 +1,49 @@
+#ifndef EELGRASSBEND_LIMITS_LIMIT_PEERS_H
+#define EELGRASSBEND_LIMITS_LIMIT_PEERS_H
+
+#include "eelgrassbend/support/error.h"
+#include "eelgrassbend/support/ids.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// How much of an organisation's limits one node has used lately.
+struct organisation_usage {
+    organisation_id organisation;
+    double requests_per_second = 0.0; ///< asked for, refused ones too
+    double share = 0.0;               ///< of the limits, which the node holds
+
+    friend bool operator==(const organisation_usage&, const organisation_usage&) = default;
+};
+
+/// What one node tells the others of a shard.
+struct limit_share_message {
+    node_id from;
+    std::vector<organisation_usage> usages;
+};
+
+std::string encode(const limit_share_message& message);
+/// Errors: `invalid_argument`.
+result<limit_share_message> decode_limit_share(const std::string& bytes);
+
+/// The other nodes that serve an organisation.
+class limit_peers {
+public:
+    using receiver = std::function<void(const limit_share_message&)>;
+
+    virtual ~limit_peers() = default;
+    /// Nodes of the organisation's shard that are alive, this one left out.
+    [[nodiscard]] virtual std::vector<node_id> shard(const organisation_id& organisation) const = 0;
+    [[nodiscard]] virtual node_id self() const = 0;
+    /// Sends the message to a peer; it may get lost.
+    virtual void send(const node_id& peer, const limit_share_message& message) = 0;
+    /// Replaces the receiver.
+    virtual void set_receiver(receiver handler) = 0;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/limits/share_account.h
@@ -0,0 +1,43 @@
+#ifndef EELGRASSBEND_LIMITS_SHARE_ACCOUNT_H
+#define EELGRASSBEND_LIMITS_SHARE_ACCOUNT_H
+
+#include "eelgrassbend/limits/limit_peers.h"
+#include "eelgrassbend/support/units.h"
+
+#include <map>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// Time after which the share of a node that is gone or silent goes to the others.
+constexpr duration share_return_delay = std::chrono::seconds{3};
+/// Time between two messages about shares.
+constexpr duration share_interval = std::chrono::milliseconds{500};
+
+/// One node's share of one organisation's limits.
+class share_account {
+public:
+    explicit share_account(monotonic_time now = {}) : started(now) {}
+
+    /// A peer told its share and demand.
+    void heard(monotonic_time now, const node_id& peer, const organisation_usage& usage);
+    /// Takes the share that `own_demand` calls for, as far as the others leave it.
+    void update(monotonic_time now, double own_demand, const std::vector<node_id>& shard);
+
+    [[nodiscard]] double share() const { return this->own_share; }
+
+private:
+    struct peer_state {
+        double demand = 0.0;
+        double share = 0.0;
+        monotonic_time heard;
+    };
+
+    monotonic_time started;
+    double own_share = 0.0;
+    std::map<node_id, peer_state> known;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/limits/token_bucket.h
@@ -0,0 +1,30 @@
+#ifndef EELGRASSBEND_LIMITS_TOKEN_BUCKET_H
+#define EELGRASSBEND_LIMITS_TOKEN_BUCKET_H
+
+#include "eelgrassbend/support/units.h"
+
+namespace eelgrassbend {
+
+/// Admits a rate with a burst.
+class token_bucket {
+public:
+    /// `rate` a second, at most `burst` at once; keeps the level, at most the new burst.
+    void configure(monotonic_time now, double rate, double burst);
+    /// Time until `amount` is there; zero if it is.
+    [[nodiscard]] duration wait_for(monotonic_time now, double amount) const;
+    /// Takes `amount`; the level may fall below zero.
+    void take(monotonic_time now, double amount);
+
+private:
+    [[nodiscard]] double level_at(monotonic_time now) const;
+
+    double rate = 0.0;
+    double burst = 0.0;
+    double level = 0.0;
+    bool filled = false;
+    monotonic_time updated;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/limits/shared_limiter.cpp
@@ -0,0 +1,165 @@
+#include "eelgrassbend/limits/shared_limiter.h"
+
+#include <algorithm>
+#include <map>
+
+namespace eelgrassbend {
+
+namespace {
+
+/// Part of the hourly cost that may be spent at once.
+constexpr double cost_burst_hours = 1.0 / 6.0;
+constexpr double seconds_per_hour = 3600.0;
+/// Weight of the newest interval in the demand.
+constexpr double demand_weight = 0.3;
+/// Time until a slot is worth another try, if too many requests run.
+constexpr duration concurrency_retry = std::chrono::seconds{1};
+/// Accounts that were not used for this long are dropped.
+constexpr duration account_lifetime = std::chrono::minutes{10};
+
+} // namespace
+
+shared_limiter::shared_limiter(scheduler& timers, const bundle_view& bundles, limit_peers& peers)
+    : timers(timers), bundles(bundles), peers(peers)
+{
+    peers.set_receiver([this](const limit_share_message& message) { this->heard(message); });
+    this->next_exchange = timers.call_after(share_interval, [this] { this->exchange(); });
+}
+
+shared_limiter::~shared_limiter()
+{
+    this->timers.cancel(this->next_exchange);
+    this->peers.set_receiver([](const limit_share_message&) {});
+}
+
+std::optional<limit_refusal> shared_limiter::admit(const organisation_id& organisation,
+                                                   const request_id& request, money expected_cost)
+{
+    const auto declared = this->bundles.current();
+    const auto spec =
+        std::ranges::find(declared->organisations, organisation, &organisation_spec::id);
+    if (spec == declared->organisations.end()) {
+        return limit_refusal{"organisation", concurrency_retry};
+    }
+    auto& known = this->account_of(*spec);
+    ++known.asked;
+    const auto now = this->timers.now();
+    known.last_used = now;
+    this->apply_share(*spec, known);
+    auto refusal = this->check(*spec, known, expected_cost);
+    if (refusal) {
+        return refusal;
+    }
+    known.requests.take(now, 1.0);
+    known.cost.take(now, static_cast<double>(expected_cost.value()));
+    ++known.concurrent;
+    this->admitted.insert_or_assign(request, admitted_request{organisation, expected_cost});
+    return std::nullopt;
+}
+
+void shared_limiter::ended(const request_id& request, money cost)
+{
+    const auto found = this->admitted.find(request);
+    if (found == this->admitted.end()) {
+        return;
+    }
+    const auto account = this->accounts.find(found->second.organisation);
+    if (account != this->accounts.end()) {
+        --account->second.concurrent;
+        const auto difference = cost - found->second.expected_cost;
+        account->second.cost.take(this->timers.now(), static_cast<double>(difference.value()));
+    }
+    this->admitted.erase(found);
+}
+
+double shared_limiter::share(const organisation_id& organisation) const
+{
+    const auto found = this->accounts.find(organisation);
+    return found == this->accounts.end() ? 0.0 : found->second.shares.share();
+}
+
+shared_limiter::account& shared_limiter::account_of(const organisation_spec& spec)
+{
+    const auto now = this->timers.now();
+    const auto [found, created] = this->accounts.try_emplace(spec.id);
+    if (created) {
+        found->second.shares = share_account{now};
+        found->second.shares.update(now, 0.0, this->peers.shard(spec.id));
+    }
+    return found->second;
+}
+
+void shared_limiter::apply_share(const organisation_spec& spec, account& known)
+{
+    const auto now = this->timers.now();
+    const double share = known.shares.share();
+    const double burst = std::max(spec.burst, 1.0);
+    known.requests.configure(now, spec.requests_per_second * share, std::max(1.0, burst * share));
+    const auto hourly = static_cast<double>(spec.cost_per_hour.value()) * share;
+    known.cost.configure(now, hourly / seconds_per_hour, hourly * cost_burst_hours);
+}
+
+std::optional<limit_refusal> shared_limiter::check(const organisation_spec& spec,
+                                                   const account& known, money cost) const
+{
+    const auto now = this->timers.now();
+    if (spec.concurrent_requests > 0) {
+        const double allowed = spec.concurrent_requests * known.shares.share();
+        if (known.concurrent >= std::max(1U, static_cast<std::uint32_t>(allowed))) {
+            return limit_refusal{"concurrency", concurrency_retry};
+        }
+    }
+    if (spec.requests_per_second > 0.0) {
+        const auto wait = known.requests.wait_for(now, 1.0);
+        if (wait > duration::zero()) {
+            return limit_refusal{"rate", wait};
+        }
+    }
+    if (spec.cost_per_hour.value() > 0) {
+        const auto wait = known.cost.wait_for(now, static_cast<double>(cost.value()));
+        if (wait > duration::zero()) {
+            return limit_refusal{"cost", wait};
+        }
+    }
+    return std::nullopt;
+}
+
+void shared_limiter::exchange()
+{
+    const auto now = this->timers.now();
+    const double seconds = std::chrono::duration<double>{share_interval}.count();
+    std::map<node_id, limit_share_message> messages;
+    for (auto& [organisation, known] : this->accounts) {
+        const double newest = static_cast<double>(known.asked) / seconds;
+        known.asked_per_second += (newest - known.asked_per_second) * demand_weight;
+        known.asked = 0;
+        const auto shard = this->peers.shard(organisation);
+        known.shares.update(now, known.asked_per_second, shard);
+        for (const auto& peer : shard) {
+            auto& message = messages[peer];
+            message.from = this->peers.self();
+            message.usages.push_back({organisation, known.asked_per_second, known.shares.share()});
+        }
+    }
+    for (const auto& [peer, message] : messages) {
+        this->peers.send(peer, message);
+    }
+    std::erase_if(this->accounts, [&](const auto& entry) {
+        return entry.second.concurrent == 0 && now - entry.second.last_used > account_lifetime;
+    });
+    this->next_exchange = this->timers.call_after(share_interval, [this] { this->exchange(); });
+}
+
+void shared_limiter::heard(const limit_share_message& message)
+{
+    const auto declared = this->bundles.current();
+    for (const auto& usage : message.usages) {
+        const auto spec =
+            std::ranges::find(declared->organisations, usage.organisation, &organisation_spec::id);
+        if (spec != declared->organisations.end()) {
+            this->account_of(*spec).shares.heard(this->timers.now(), message.from, usage);
+        }
+    }
+}
+
+} // namespace eelgrassbend
