Shed low priorities, and hear of a service before its first request

Low priorities are refused before a service is full, so that the others find slots; the table keeps the used slots as a sum. Reports, digests and attempts that came before the first choice of a service were dropped; they set its table up.

--- a/include/eelgrassbend/routing/service_router.h
+++ b/include/eelgrassbend/routing/service_router.h
@@ -75,6 +75,8 @@
     void configure(service_state& state);
     void endpoint_changed(const endpoint_info& info);
     [[nodiscard]] service_state* service_of(const endpoint_id& endpoint) const;
+    /// Sets the service's table up if this is the first that is heard of it.
+    service_state* load_service_of(const endpoint_id& endpoint);
     void learn_first_token(outstanding_attempt& attempt, monotonic_time now);
     void learn_next_token(outstanding_attempt& attempt, monotonic_time now, std::int64_t total);
 
--- a/include/eelgrassbend/routing/service_table.h
+++ b/include/eelgrassbend/routing/service_table.h
@@ -95,10 +95,22 @@
     /// Estimated time until a slot of the service is free.
     [[nodiscard]] duration slot_release_time() const;
 
+    /// Share of the slots of all usable endpoints that are in use, as far as known.
+    [[nodiscard]] double utilisation() const;
+
+    /// Priorities that organisations have, in ascending order.
+    [[nodiscard]] const std::vector<std::int32_t>& priority_levels() const { return this->levels; }
+
     /// To be called after the load of an endpoint has changed.
     void load_changed(endpoint_index index);
 
 private:
+    struct counted_load {
+        double used = 0.0;
+        std::int64_t slots = 0;
+    };
+
+    void count(endpoint_index index, const counted_load& load);
     [[nodiscard]] money price_of(const endpoint_info& info) const;
     void set_usable(endpoint_index index, bool usable);
     [[nodiscard]] endpoint_index allocate();
@@ -115,6 +127,10 @@
     prefix_index prefix_blocks;
     std::map<machine_class, pace_model> paces;
     std::vector<endpoint_index> suspect_list;
+    std::vector<std::int32_t> levels;
+    std::vector<counted_load> counted; ///< what each endpoint has in the sums
+    double used_slots = 0.0;
+    std::int64_t all_slots = 0;
     duration mean_hold = std::chrono::seconds{4};
 };
 
--- a/lib/routing/predictive_policy.cpp
+++ b/lib/routing/predictive_policy.cpp
@@ -1,5 +1,7 @@
 #include "predictive_policy.h"
 
+#include "eelgrassbend/limits/load_shedder.h"
+
 #include <algorithm>
 
 namespace eelgrassbend {
@@ -56,8 +58,13 @@
 
 result<route_decision> predictive_policy::choose(service_table& table, const route_request& request)
 {
-    auto candidates = this->evaluate(table, request);
     const auto now = this->clock.now();
+    if (should_shed(table.utilisation(), request.priority, table.priority_levels())) {
+        return make_error(errc::rate_limited, "choose endpoint", table.id().value(),
+                          "shed: " + std::to_string(table.utilisation()) +
+                              " of the slots are in use and others have priority");
+    }
+    auto candidates = this->evaluate(table, request);
     std::string reason = "suspected endpoint tried for recovery";
     std::uint32_t near_equals = 1;
     const auto* chosen = this->probe(table, request, candidates);
--- a/lib/routing/service_router.cpp
+++ b/lib/routing/service_router.cpp
@@ -47,7 +47,7 @@
 void service_router::dispatched(const attempt_id& attempt, const endpoint_id& endpoint,
                                 const route_request& request)
 {
-    auto* state = this->service_of(endpoint);
+    auto* state = this->load_service_of(endpoint);
     const auto index = state == nullptr ? std::nullopt : state->table.find(endpoint);
     if (!index) {
         return;
@@ -141,7 +141,7 @@
 
 void service_router::report_load(const endpoint_id& endpoint, const load_report& report)
 {
-    auto* state = this->service_of(endpoint);
+    auto* state = this->load_service_of(endpoint);
     const auto index = state == nullptr ? std::nullopt : state->table.find(endpoint);
     if (!index) {
         return;
@@ -156,7 +156,7 @@
 
 void service_router::report_cache(const endpoint_id& endpoint, const cache_event& event)
 {
-    auto* state = this->service_of(endpoint);
+    auto* state = this->load_service_of(endpoint);
     const auto index = state == nullptr ? std::nullopt : state->table.find(endpoint);
     if (index) {
         state->table.prefixes().apply(*index, event);
@@ -222,7 +222,7 @@
 
 void service_router::set_usage(const node_id& peer, const endpoint_usage& usage)
 {
-    auto* state = this->service_of(usage.endpoint);
+    auto* state = this->load_service_of(usage.endpoint);
     const auto index = state == nullptr ? std::nullopt : state->table.find(usage.endpoint);
     if (!index) {
         return;
@@ -255,6 +255,7 @@
     if (known.empty()) {
         return nullptr;
     }
+    this->refresh_bundle();
     auto& state = this->services[service];
     state = std::make_unique<service_state>(service);
     this->configure(*state);
@@ -310,6 +311,16 @@
     return found == this->services.end() ? nullptr : found->second.get();
 }
 
+service_router::service_state* service_router::load_service_of(const endpoint_id& endpoint)
+{
+    auto* known = this->service_of(endpoint);
+    if (known != nullptr) {
+        return known;
+    }
+    const auto info = this->endpoints.find(endpoint);
+    return info ? this->find_service(info->service) : nullptr;
+}
+
 void service_router::learn_first_token(outstanding_attempt& attempt, monotonic_time now)
 {
     auto& table = attempt.service->table;
--- a/lib/routing/service_table.cpp
+++ b/lib/routing/service_table.cpp
@@ -1,6 +1,7 @@
 #include "eelgrassbend/routing/service_table.h"
 
 #include <algorithm>
+#include <set>
 
 namespace eelgrassbend {
 
@@ -35,6 +36,11 @@
     const auto found = std::ranges::find(declared.services, this->service, &service_spec::id);
     this->settings = found == declared.services.end() ? service_spec{} : *found;
     this->prices = declared.host_prices;
+    std::set<std::int32_t> priorities;
+    for (const auto& organisation : declared.organisations) {
+        priorities.insert(organisation.priority);
+    }
+    this->levels.assign(priorities.begin(), priorities.end());
     for (const auto& [id, index] : this->by_id) {
         auto& record = this->records[index];
         record.price_per_hour = this->price_of(record.info);
@@ -163,16 +169,28 @@
 duration service_table::slot_release_time() const
 {
     constexpr duration shortest = std::chrono::seconds{1};
-    std::int64_t slots = 0;
-    for (const auto index : this->live_list) {
-        slots += this->records[index].load.slots();
-    }
-    return std::max(shortest, this->mean_hold / std::max<std::int64_t>(1, slots));
+    return std::max(shortest, this->mean_hold / std::max<std::int64_t>(1, this->all_slots));
+}
+
+double service_table::utilisation() const
+{
+    return this->all_slots == 0 ? 0.0 : this->used_slots / static_cast<double>(this->all_slots);
+}
+
+void service_table::count(endpoint_index index, const counted_load& load)
+{
+    auto& before = this->counted[index];
+    this->used_slots += load.used - before.used;
+    this->all_slots += load.slots - before.slots;
+    before = load;
 }
 
 void service_table::load_changed(endpoint_index index)
 {
     const auto& record = this->records[index];
+    if (record.usable) {
+        this->count(index, {record.load.total(), record.load.slots()});
+    }
     if (!record.usable || record.suspected) {
         return;
     }
@@ -205,6 +223,7 @@
         return;
     }
     this->by_load.remove(index);
+    this->count(index, {});
     std::erase(this->suspect_list, index);
     record.suspected = false;
     const auto hole = this->live_position[index];
@@ -223,6 +242,7 @@
     }
     this->records.emplace_back();
     this->live_position.push_back(0);
+    this->counted.emplace_back();
     return static_cast<endpoint_index>(this->records.size() - 1);
 }
 
