Let engines export and import their cache at 5 GB a second

At 1.25 GB a second an export and an import moved 4,800 tokens a second, fewer than the 8,000 that an idle engine recomputes, so that a transfer could never have paid; 40 Gbit/s, usual between accelerator hosts, gives 19,000. The test that measures a transfer sets its own rate.

--- a/include/eelgrassbend/engine_model/engine_settings.h
+++ b/include/eelgrassbend/engine_model/engine_settings.h
@@ -27,7 +27,7 @@
     duration load_report_lag = std::chrono::milliseconds{500};
 
     std::int64_t kv_bytes_per_token = 131'072;
-    double kv_bytes_per_second = 1.25e9;
+    double kv_bytes_per_second = 5.0e9;
     std::int64_t weight_bytes = 16'000'000'000;
     double weight_bytes_per_second = 2.0e9;
 
--- a/tools/engine-standin/main.cpp
+++ b/tools/engine-standin/main.cpp
@@ -31,7 +31,7 @@
 ABSL_FLAG(std::int64_t, lag_ms, 500, "lag of load reports and cache events");
 ABSL_FLAG(double, cache_event_loss, 0.0, "share of cache events that get lost");
 ABSL_FLAG(std::int64_t, kv_bytes_per_token, 131'072, "size of the cached state of one token");
-ABSL_FLAG(double, kv_bytes_per_second, 1.25e9, "rate of exports and imports");
+ABSL_FLAG(double, kv_bytes_per_second, 5.0e9, "rate of exports and imports");
 ABSL_FLAG(std::int64_t, weight_bytes, 16'000'000'000, "size of a model's weights");
 ABSL_FLAG(double, weight_bytes_per_second, 2.0e9, "rate at which weights are loaded");
 ABSL_FLAG(bool, checks_fencing, true, "refuse orders with an old fencing token");
--- a/unittests/engine_model/state_test.cpp
+++ b/unittests/engine_model/state_test.cpp
@@ -89,8 +89,10 @@
 
 BOOST_AUTO_TEST_CASE(an_imported_snapshot_spares_the_prefill)
 {
-    engine_fixture from;
-    engine_fixture to;
+    auto settings = test_settings();
+    settings.kv_bytes_per_second = 1.0e9; // 210 ms for 1,600 tokens
+    engine_fixture from{settings};
+    engine_fixture to{settings};
     const auto prompt = long_prompt("badge", 1600);
     from.submit(test_request("a", prompt, 500));
     from.time.run_for(seconds{2});
