Reuse only open connections to the platform and name its outages

Cause: a pooled connection that the server had closed made an append's outcome unknown for nothing; a cut answer on one left a used parser for the second try; after a silent connection the next requests met its silent siblings; and bundle freshness needs to tell the log's own 503 from a log that cannot be reached. Change: asio_http_client peeks before reuse, takes a new parser for each connection and drops the idle connections of a peer when a pooled one fails. http_log_client gives 503 the detail that is_log_outage() knows. Conclusion: outcome_unknown means that the request was sent on a connection that was open.

--- a/lib/net/asio_http_client.cpp
+++ b/lib/net/asio_http_client.cpp
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace eelgrassbend {
 
@@ -47,13 +48,26 @@
     std::map<network_address, std::deque<connection_ptr>> idle;
 };
 
+/// Whether the peer has neither closed an idle connection nor sent anything on it. A request
+/// that is sent on a closed one fails in a way that leaves open whether it was carried out.
+static bool still_open(connection& link)
+{
+    auto& socket = link.stream.socket();
+    char byte = 0;
+    error_code failure;
+    socket.non_blocking(true, failure);
+    socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
 connection_ptr asio_http_client::pool::take(const network_address& peer)
 {
     auto& waiting = this->idle[peer];
     while (!waiting.empty()) {
         auto link = std::move(waiting.back());
         waiting.pop_back();
-        if (std::chrono::steady_clock::now() - link->idle_since < idle_limit) {
+        const bool young = std::chrono::steady_clock::now() - link->idle_since < idle_limit;
+        if (young && still_open(*link)) {
             return link;
         }
     }
@@ -96,7 +110,7 @@
     connection_ptr link;
     bool pooled = false;
     http::request<http::string_body> message;
-    http::response_parser<http::string_body> parser;
+    std::optional<http::response_parser<http::string_body>> parser; ///< one a connection
 };
 
 } // namespace
@@ -112,7 +126,6 @@
         this->message.body() = this->call.body;
     }
     this->message.prepare_payload();
-    this->parser.body_limit(most_body_bytes);
     this->link = this->pool->take(this->call.peer);
     this->pooled = this->link != nullptr;
     if (this->pooled) {
@@ -158,14 +171,16 @@
 
 void exchange_call::read()
 {
-    http::async_read(this->link->stream, this->link->buffer, this->parser,
+    this->parser.emplace();
+    this->parser->body_limit(most_body_bytes);
+    http::async_read(this->link->stream, this->link->buffer, *this->parser,
                      [self = this->shared_from_this()](error_code failure, std::size_t) {
                          if (failure) {
                              self->fail_after_sending(failure);
                              return;
                          }
-                         const auto& answer = self->parser.get();
-                         if (self->parser.keep_alive()) {
+                         const auto& answer = self->parser->get();
+                         if (self->parser->keep_alive()) {
                              self->link->stream.expires_never();
                              self->pool->give_back(self->call.peer, self->link);
                          }
@@ -174,10 +189,13 @@
                      });
 }
 
-// A pooled connection that the peer had closed fails at its first use. A read changes nothing,
-// so it is sent again on a fresh connection.
+// A pooled connection that the peer closes or something between has lost track of fails at its
+// first use. A read changes nothing, so it is sent again on a fresh connection.
 void exchange_call::fail_after_sending(error_code failure)
 {
+    if (this->pooled) {
+        this->pool->idle.erase(this->call.peer); // they are as old, and may be as dead
+    }
     if (this->pooled && this->call.method == "GET" && failure != beast::error::timeout) {
         this->pooled = false;
         this->connect();
--- a/lib/platform/http_log_client.cpp
+++ b/lib/platform/http_log_client.cpp
@@ -13,6 +13,18 @@
 {
 }
 
+/// As `convert_answer`, but tells an outage of the log from a log that cannot be reached.
+template <typename Value, typename Convert>
+static result<Value> convert_log_answer(const result<http_answer>& answer, const std::string& step,
+                                        const std::string& peer, Convert convert)
+{
+    constexpr int service_unavailable = 503;
+    if (answer && answer.value().status == service_unavailable) {
+        return make_error(errc::unavailable, step, peer, log_outage_detail);
+    }
+    return convert_answer<Value>(answer, step, peer, convert);
+}
+
 static std::vector<log_offset> read_offsets(const json& answer)
 {
     std::vector<log_offset> offsets;
@@ -36,7 +48,7 @@
     this->client.send(
         std::move(call), [handler = std::move(handler), count, stream,
                           peer = this->platform.to_string()](const result<http_answer>& answer) {
-            auto offsets = convert_answer<std::vector<log_offset>>(
+            auto offsets = convert_log_answer<std::vector<log_offset>>(
                 answer, "append to " + stream.value(), peer, read_offsets);
             if (offsets && offsets.value().size() != count) {
                 handler(make_error(errc::outcome_unknown, "append to " + stream.value(), peer,
@@ -81,11 +93,11 @@
                        "&limit=" + std::to_string(limit),
                    {},
                    this->timeout};
-    this->client.send(
-        std::move(call), [handler = std::move(handler), stream,
-                          peer = this->platform.to_string()](const result<http_answer>& answer) {
-            handler(convert_answer<log_page>(answer, "read " + stream.value(), peer, read_page));
-        });
+    this->client.send(std::move(call), [handler = std::move(handler), stream,
+                                        peer = this->platform.to_string()](
+                                           const result<http_answer>& answer) {
+        handler(convert_log_answer<log_page>(answer, "read " + stream.value(), peer, read_page));
+    });
 }
 
 } // namespace eelgrassbend
--- a/unittests/platform/http_platform_test.cpp
+++ b/unittests/platform/http_platform_test.cpp
@@ -65,11 +65,14 @@
     };
     BOOST_TEST((code_for(429, "") == errc::rate_limited));
     BOOST_TEST((code_for(503, "") == errc::unavailable));
+    BOOST_TEST(is_log_outage(this->append_error()));
     BOOST_TEST((code_for(500, "") == errc::outcome_unknown));
+    BOOST_TEST(!is_log_outage(this->append_error()));
     BOOST_TEST((code_for(200, "not json") == errc::outcome_unknown));
     BOOST_TEST((code_for(200, R"({"offsets":[1,2,3]})") == errc::outcome_unknown));
     this->client.answer = make_error(errc::timed_out, "POST", "127.0.0.1:7000");
     const auto failure = this->append_error();
+    BOOST_TEST(!is_log_outage(failure));
     BOOST_TEST((failure.code == errc::timed_out));
     BOOST_TEST(failure.step == "append to bundles");
 }
