Spread notices and hints over the ring of entry nodes

Cause: the daemon told nobody of notices and bundle hints. Change: the ring dissemination takes the place of the silent stand-in.

--- a/bench/audit_experiment.cpp
+++ b/bench/audit_experiment.cpp
@@ -86,8 +86,7 @@
         }
         // A dead endpoint left each execution that ended; whether its last bytes were sent is
         // not known there, but the caller's side is checked too.
-        std::ifstream stream{absl::GetFlag(FLAGS_state_dir) + "/" + endpoint.name +
-                             ".executions"};
+        std::ifstream stream{absl::GetFlag(FLAGS_state_dir) + "/" + endpoint.name + ".executions"};
         std::ostringstream text;
         text << stream.rdbuf();
         add_executions(text.str(), seen);
--- a/lib/entry/decision_services.cpp
+++ b/lib/entry/decision_services.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassbend/bundle/bundle_follower.h"
 #include "eelgrassbend/claims/log_claim_service.h"
+#include "eelgrassbend/dissemination/epidemic_dissemination.h"
 #include "eelgrassbend/endpoints/endpoint_watcher.h"
 #include "eelgrassbend/endpoints/platform_endpoint_directory.h"
 #include "eelgrassbend/entry/entry_status.h"
@@ -96,9 +97,13 @@
                          needs.get<peer_channel>("peer_channel"), needs.get<scheduler>("scheduler"),
                          needs.get<random_source>("random"), needs.get<host_list>("host_list"));
                  });
-    services.add("dissemination", {}, [](const resolved_services&) {
-        return std::make_shared<hosted<silent_dissemination>>();
-    });
+    services.add("dissemination", {"membership", "peer_channel", "scheduler", "random"},
+                 [](const resolved_services& needs) {
+                     return std::make_shared<hosted<ring_dissemination>>(
+                         dissemination_options{}, needs.get<membership>("membership"),
+                         needs.get<peer_channel>("peer_channel"), needs.get<scheduler>("scheduler"),
+                         needs.get<random_source>("random"));
+                 });
 }
 
 static std::shared_ptr<service> make_bundles(const entry_settings& settings,
--- a/lib/entry/interim_services.h
+++ b/lib/entry/interim_services.h
@@ -18,14 +18,6 @@
     void ended(const request_id&, money) override {}
 };
 
-/// Tells nobody; stands in until lib/dissemination is there. Nodes then learn by polling alone.
-class silent_dissemination : public dissemination {
-public:
-    void publish(const std::string&, const std::string&) override {}
-
-    void subscribe(const std::string&, handler) override {}
-};
-
 /// Names all live entry nodes; stands in until lib/discovery is there.
 class all_entries : public entry_directory {
 public:
--- a/lib/standin/engine_standin.cpp
+++ b/lib/standin/engine_standin.cpp
@@ -37,7 +37,8 @@
 class engine_standin::implementation {
 public:
     implementation(const engine_standin_settings& given, event_loop& loop)
-        : settings(given), executions(given.executions_file),
+        : settings(given),
+          executions(given.executions_file),
           server(loop, given.ip, given.port,
                  [this](const auto& request, auto answer) { this->serve(request, answer); }),
           behind(make_endpoint(this->settings, loop, this->executions))
