Measure claims and ledger, and spread partitions and appends evenly

Change: experiments claims and ledger under virtual time with a log of 300 appends a second; ledger appends start at a random phase and retries are spread; the first maintenance of claims waits 30 to 60 s; partition owners take at most an even share; 16 partitions that append at most each 100 ms.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -11,6 +11,9 @@
 /// Each experiment has its factory in the source file of its name.
 using experiment_list = std::vector<std::unique_ptr<experiment>>;
 
+std::unique_ptr<experiment> make_claims_experiment();
+std::unique_ptr<experiment> make_ledger_experiment();
+
 } // namespace eelgrassbend::bench
 
 #endif
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -13,7 +13,10 @@
 
 static experiment_list make_experiments()
 {
-    return {};
+    experiment_list experiments;
+    experiments.push_back(make_claims_experiment());
+    experiments.push_back(make_ledger_experiment());
+    return experiments;
 }
 
 static int list(const experiment_list& experiments)
--- a/include/eelgrassbend/claims/log_claim_service.h
+++ b/include/eelgrassbend/claims/log_claim_service.h
@@ -23,7 +23,7 @@
 struct claim_settings {
     /// Streams over which keys are spread. The same on every node; a change needs all entry
     /// nodes stopped for `table.max_key_age`.
-    std::uint32_t partitions = 4;
+    std::uint32_t partitions = 16;
     claim_table_settings table;
     duration log_retention = std::chrono::hours{1}; ///< least that the platform promises
     duration claim_timeout = std::chrono::seconds{2};
@@ -33,8 +33,10 @@
     duration grant_limit = std::chrono::seconds{5};   ///< from `claim` to dispatch
     duration run_limit = std::chrono::minutes{5};     ///< from the claim to its outcome
     duration batch_window = std::chrono::milliseconds{3};
-    duration append_interval = std::chrono::milliseconds{25}; ///< least time between two appends
-    duration retry_delay = std::chrono::milliseconds{50};     ///< doubles up to 16 times itself
+    /// Least time between two appends to one partition; all of them together append at most
+    /// `partitions` times in it.
+    duration append_interval = std::chrono::milliseconds{100};
+    duration retry_delay = std::chrono::milliseconds{50}; ///< doubles up to 16 times itself
     duration stop_timeout = std::chrono::seconds{5};
     std::size_t batch_records = 256;
     std::size_t queued_records = 10'000; ///< beyond it claims are refused
--- a/include/eelgrassbend/ledger/replicated_ledger.h
+++ b/include/eelgrassbend/ledger/replicated_ledger.h
@@ -147,6 +147,7 @@
     void retry_needy();
 
     [[nodiscard]] duration append_interval() const;
+    [[nodiscard]] duration random_up_to(duration bound);
     void schedule_append(duration delay);
     void append();
     void on_appended(const std::vector<request_id>& sent, bool succeeded, const std::string& why);
@@ -170,8 +171,8 @@
     bool appending = false;
     bool append_scheduled = false;
     timer_id append_timer;
-    monotonic_time last_append{};
-    int failures = 0; ///< of appends, in a row
+    monotonic_time next_append{}; ///< not before, unless for a flush
+    int failures = 0;             ///< of appends, in a row
     bool flushing = false;
 };
 
--- a/lib/claims/claim_partition.cpp
+++ b/lib/claims/claim_partition.cpp
@@ -1,7 +1,5 @@
 #include "claim_partition.h"
 
-#include "eelgrassbend/support/hash.h"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -10,9 +8,6 @@
 
 namespace eelgrassbend {
 
-/// Owners of a partition that are tried before a node appends by itself.
-static constexpr std::size_t owners_tried = 2;
-static constexpr duration owners_kept = std::chrono::seconds{1};
 static constexpr int longest_back_off = 4; ///< doublings of the retry delay
 
 static record_verdict verdict_of_kind(verdict_kind kind)
@@ -109,36 +104,10 @@
     return batch;
 }
 
-// Owners only batch: two at once, or none, change the cost but no verdict.
-void claim_partition::refresh_owners()
-{
-    const auto now = this->context.on.timer.now();
-    if (now < this->owners_known_until) {
-        return;
-    }
-    this->owners_known_until = now + owners_kept;
-    const auto& self = this->context.on.members.self();
-    auto candidates = this->context.on.members.peers();
-    candidates.push_back(self);
-    std::vector<std::string> names;
-    for (const auto& candidate : candidates) {
-        if (candidate.state <= member_state::suspect) {
-            names.push_back(candidate.id.value());
-        }
-    }
-    this->owners.clear();
-    for (const auto& name : rendezvous(this->stream.value(), names, owners_tried)) {
-        const auto found =
-            std::find_if(candidates.begin(), candidates.end(),
-                         [&](const member& candidate) { return candidate.id.value() == name; });
-        this->owners.push_back(*found);
-    }
-}
-
 bool claim_partition::is_owner()
 {
-    this->refresh_owners();
-    return !this->owners.empty() && this->owners.front().id == this->context.on.members.self().id;
+    const auto& owners = this->context.owners.of(this->number);
+    return !owners.empty() && owners.front().id == this->context.on.members.self().id;
 }
 
 const member* claim_partition::owner_to_ask()
@@ -148,8 +117,7 @@
     if (any_served) {
         return nullptr;
     }
-    this->refresh_owners();
-    for (const auto& owner : this->owners) {
+    for (const auto& owner : this->context.owners.of(this->number)) {
         if (owner.id == this->context.on.members.self().id) {
             return nullptr;
         }
--- a/lib/claims/claim_partition.h
+++ b/lib/claims/claim_partition.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/claims/log_claim_service.h"
 
 #include "claim_batch.h"
+#include "partition_owners.h"
 
 #include <deque>
 #include <functional>
@@ -15,9 +16,15 @@
 
 /// What all partitions of one node share.
 struct claim_context {
+    claim_context(const claim_settings& settings, const claim_dependencies& dependencies)
+        : settings(settings), on(dependencies), owners(on.members, on.timer, settings.partitions)
+    {
+    }
+
     claim_settings settings;
     claim_dependencies on;
     claim_statistics statistics;
+    partition_owners owners;
     std::unordered_map<node_id, monotonic_time> penalties; ///< owners left out until then
 };
 
@@ -59,7 +66,6 @@
     void send();
     [[nodiscard]] pending_batch take_batch();
     [[nodiscard]] const member* owner_to_ask();
-    void refresh_owners();
 
     void ask(const member& owner);
     void on_owner_answer(const node_id& owner, const result<std::string>& answer);
@@ -89,9 +95,7 @@
     pending_batch flight; ///< under way; empty if none
     bool scheduled = false;
     monotonic_time not_before{};
-    int failures = 0;           ///< in a row
-    std::vector<member> owners; ///< the best first; this node may be one of them
-    monotonic_time owners_known_until{};
+    int failures = 0; ///< in a row
 };
 
 } // namespace eelgrassbend
--- a/lib/claims/log_claim_service.cpp
+++ b/lib/claims/log_claim_service.cpp
@@ -12,6 +12,7 @@
 namespace eelgrassbend {
 
 static constexpr const char* claim_step = "claim idempotency key";
+static constexpr duration first_maintenance = std::chrono::seconds{30};
 static constexpr duration settle_poll = std::chrono::milliseconds{20};
 /// Longest an owner works on a batch, as a share of the time that the asking node waits.
 static constexpr double served_share = 0.7;
@@ -41,7 +42,7 @@
 
 log_claim_service::log_claim_service(const claim_settings& settings,
                                      const claim_dependencies& dependencies)
-    : context(new claim_context{settings, dependencies, {}, {}})
+    : context(std::make_unique<claim_context>(settings, dependencies))
 {
     assert(check_claim_settings(settings) && "settings must have been checked");
     for (std::uint32_t number = 0; number < settings.partitions; ++number) {
@@ -58,7 +59,12 @@
         [this](const std::string& request, const peer_rpc::answer_handler& answer) {
             this->serve(request, answer);
         });
-    this->maintain();
+    this->context->on.members.on_change(
+        [this](const member&) { this->context->owners.invalidate(); });
+    // A node that has just started takes itself for the owner of every partition.
+    const auto spread = random_below(this->context->on.random, first_maintenance.count());
+    this->context->on.timer.call_after(first_maintenance + duration{spread},
+                                       [this] { this->maintain(); });
 }
 
 void log_claim_service::stop(std::function<void()> done)
--- a/lib/ledger/replicated_ledger.cpp
+++ b/lib/ledger/replicated_ledger.cpp
@@ -28,6 +28,8 @@
 void replicated_ledger::start()
 {
     this->replicas->start();
+    // Nodes that start together must not append together for ever.
+    this->next_append = this->on.timer.now() + this->random_up_to(this->append_interval());
     this->on.members.on_change([this](const member& changed) { this->on_member_change(changed); });
 }
 
@@ -186,6 +188,12 @@
     return std::max(this->settings.append_window, std::chrono::duration_cast<duration>(apart));
 }
 
+duration replicated_ledger::random_up_to(duration bound)
+{
+    const auto count = static_cast<std::uint64_t>(bound.count());
+    return duration{static_cast<std::int64_t>(random_below(this->on.random, count + 1))};
+}
+
 void replicated_ledger::schedule_append(duration delay)
 {
     if (this->append_scheduled || this->appending || this->queue.empty()) {
@@ -193,7 +201,7 @@
     }
     this->append_scheduled = true;
     const auto now = this->on.timer.now();
-    const auto due = this->flushing ? now : this->last_append + this->append_interval();
+    const auto due = this->flushing ? now : this->next_append;
     const auto wait = std::max(delay, due - now);
     this->append_timer = this->on.timer.call_after(wait, [this] {
         this->append_scheduled = false;
@@ -217,7 +225,7 @@
             {record_id{request.value()}, encode_ledger_line(this->lines.at(request).line)});
     }
     this->appending = true;
-    this->last_append = this->on.timer.now();
+    this->next_append = this->on.timer.now() + this->append_interval();
     ++this->counts.appends;
     this->on.log.append(stream_name{std::string{ledger_stream}}, std::move(records),
                         [this, sent = std::move(sent)](const auto& offsets) {
@@ -234,7 +242,10 @@
     this->appending = false;
     if (!succeeded) {
         ++this->counts.append_failures;
-        const auto delay = this->settings.retry_delay * (1 << this->failures);
+        const auto longest = this->settings.retry_delay * (1 << this->failures);
+        // Nodes that failed together must not try again together.
+        const auto delay = longest / 2 + this->random_up_to(longest);
+        this->next_append = this->on.timer.now();
         this->failures = std::min(this->failures + 1, most_doublings);
         this->on.events.write(log_level::warning, "ledger_append_failed",
                               {{"waiting", this->queue.size()}, {"error", why}});
--- a/unittests/claims/claim_limits_test.cpp
+++ b/unittests/claims/claim_limits_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace eelgrassbend {
 
 using std::chrono::hours;
@@ -110,6 +112,24 @@
     BOOST_TEST(cluster.world.log.appends() - appends <= 42U);
 }
 
+BOOST_AUTO_TEST_CASE(partitions_are_spread_over_the_nodes)
+{
+    auto settings = claims_cluster::fast_settings();
+    settings.partitions = 16;
+    for (const std::size_t count : {5, 16, 40}) {
+        claims_cluster cluster{count, 1, settings};
+        for (int round = 0; round < 200; ++round) {
+            cluster.begin(round % count, cluster.make_key(), std::to_string(round));
+        }
+        cluster.run_for(seconds{2});
+        std::size_t owners = 0;
+        for (const auto& each : cluster.services) {
+            owners += each->statistics().appends > 0 ? 1 : 0;
+        }
+        BOOST_TEST(owners == std::min<std::size_t>(count, 16));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(claims_beyond_the_queue_are_refused_at_once)
 {
     auto settings = claims_cluster::fast_settings();
--- a/unittests/claims/claims_cluster.h
+++ b/unittests/claims/claims_cluster.h
@@ -33,6 +33,7 @@
     {
         claim_settings settings;
         settings.partitions = 2;
+        settings.append_interval = std::chrono::milliseconds{25};
         return settings;
     }
 
--- a/unittests/fakes/fake_peer_rpc.h
+++ b/unittests/fakes/fake_peer_rpc.h
@@ -36,14 +36,14 @@
         network.nodes[std::move(address)] = this;
     }
 
-    std::size_t bytes_sent = 0;
+    std::size_t bytes_carried = 0; ///< of requests and answers, sent and received
 
     void call(const network_address& peer, peer_method method, std::string request,
               duration timeout, answer_handler handler) override
     {
         ++this->network.calls;
         this->network.bytes += request.size();
-        this->bytes_sent += request.size();
+        this->bytes_carried += request.size();
         auto open = std::make_shared<answer_handler>(std::move(handler));
         const auto close = [open](result<std::string> answer) {
             if (auto waiting = std::exchange(*open, nullptr)) {
@@ -65,7 +65,9 @@
         this->carry(
             [this, callee = found->second, method, request = std::move(request), close, expiry] {
                 callee->answer(method, request, [this, close, expiry](result<std::string> answer) {
-                    this->network.bytes += answer ? answer.value().size() : 0;
+                    const auto size = answer ? answer.value().size() : 0;
+                    this->network.bytes += size;
+                    this->bytes_carried += size;
                     this->carry([this, close, expiry, answer = std::move(answer)] {
                         this->timer.call_after(duration::zero(), [this, close, expiry, answer] {
                             this->timer.cancel(expiry);
@@ -93,6 +95,7 @@
 
     void answer(peer_method method, std::string request, answer_handler handler)
     {
+        this->bytes_carried += request.size();
         this->timer.call_after(duration::zero(), [this, method, request = std::move(request),
                                                   handler = std::move(handler)] {
             const auto found = this->handlers.find(method);
