--- a/include/eelgrassbend/kernel/kernel.h
+++ b/include/eelgrassbend/kernel/kernel.h
@@ -50,6 +50,12 @@
 public:
     using factory = std::function<std::shared_ptr<service>(const resolved_services&)>;
 
+    kernel() = default;
+    kernel(const kernel&) = delete;
+    kernel& operator=(const kernel&) = delete;
+    /// Destroys the services, last built first.
+    ~kernel();
+
     /// Registers a service; errors: `conflict` if the name is taken.
     result<void> add(std::string name, std::vector<std::string> dependencies, factory make);
     /// Builds and starts all services. Errors: `not_found` names a missing dependency,
--- a/include/eelgrassbend/serving/completion_codec.h
+++ b/include/eelgrassbend/serving/completion_codec.h
@@ -49,8 +49,10 @@
 /// Errors: `invalid_argument`, naming the field.
 result<completion_request> parse_completion_request(completion_kind kind, std::string body);
 
-/// The body for an engine: always streamed, and resumed if something has been emitted.
-std::string engine_body(const completion_request& request, const emitted_answer& emitted);
+/// The body for an engine that runs `model`: always streamed, and resumed if something has been
+/// emitted.
+std::string engine_body(const completion_request& request, const model_id& model,
+                        const emitted_answer& emitted);
 
 result<completion_event> parse_completion_event(const std::string& data);
 
--- a/include/eelgrassbend/serving/request_flow.h
+++ b/include/eelgrassbend/serving/request_flow.h
@@ -122,7 +122,7 @@
     std::optional<timer_id> deadline_timer;
     std::optional<timer_id> retry_timer;
     std::optional<timer_id> move_timer;
-    monotonic_time dispatched_at;
+    duration next_pause;
     int attempts = 0;
     money billed;
     bool first_progress = true;
--- a/include/eelgrassbend/serving/services.h
+++ b/include/eelgrassbend/serving/services.h
@@ -23,11 +23,12 @@
 
 struct serving_settings {
     node_id node;
-    duration progress_timeout = std::chrono::seconds{5};   ///< silence of an endpoint
-    duration retry_pause = std::chrono::milliseconds{100}; ///< when no endpoint can take a request
+    duration progress_timeout = std::chrono::seconds{5}; ///< silence of an endpoint
+    /// When no endpoint can take a request that has begun; doubles up to the longest.
+    duration retry_pause = std::chrono::milliseconds{100};
+    duration longest_retry_pause = std::chrono::seconds{2};
     duration refusal_retry_after = std::chrono::seconds{1};
     duration move_margin = std::chrono::seconds{1}; ///< before a leaving endpoint is taken
-    int most_attempts = 12;                         ///< of one request
 };
 
 /// What the request flows need; all outlive them.
--- a/lib/standin/endpoint.h
+++ b/include/eelgrassbend/standin/endpoint.h
@@ -1,13 +1,17 @@
-#ifndef EELGRASSBEND_LIB_STANDIN_ENDPOINT_H
-#define EELGRASSBEND_LIB_STANDIN_ENDPOINT_H
-
-#include "execution_log.h"
+#ifndef EELGRASSBEND_STANDIN_ENDPOINT_H
+#define EELGRASSBEND_STANDIN_ENDPOINT_H
 
 #include "eelgrassbend/endpoints/load_report.h"
+#include "eelgrassbend/standin/execution_log.h"
 #include "eelgrassbend/standin/http_server.h"
 
 #include <cstdint>
 #include <memory>
+#include <string>
+
+namespace eelgrassbend {
+class scheduler;
+} // namespace eelgrassbend
 
 namespace eelgrassbend::standin {
 
@@ -30,6 +34,12 @@
     virtual void set_faults(const endpoint_faults& wanted) = 0;
 };
 
+struct engine_standin_settings;
+
+/// The endpoint behind the HTTP server of a stand-in; all references must outlive it.
+std::unique_ptr<endpoint> make_endpoint(const engine_standin_settings& settings, scheduler& timers,
+                                        execution_log& executions);
+
 http_fields json_fields();
 
 /// Answers with a JSON object that holds `message` as "error".
--- a/lib/standin/execution_log.h
+++ b/include/eelgrassbend/standin/execution_log.h
@@ -1,5 +1,5 @@
-#ifndef EELGRASSBEND_LIB_STANDIN_EXECUTION_LOG_H
-#define EELGRASSBEND_LIB_STANDIN_EXECUTION_LOG_H
+#ifndef EELGRASSBEND_STANDIN_EXECUTION_LOG_H
+#define EELGRASSBEND_STANDIN_EXECUTION_LOG_H
 
 #include "eelgrassbend/standin/http_server.h"
 #include "eelgrassbend/support/units.h"
--- a/lib/kernel/kernel.cpp
+++ b/lib/kernel/kernel.cpp
@@ -26,6 +26,14 @@
     throw std::logic_error("service '" + name + "' does not have the interface asked for");
 }
 
+// A service may use its dependencies until it is gone.
+kernel::~kernel()
+{
+    for (auto name = this->order.rbegin(); name != this->order.rend(); ++name) {
+        this->registrations.at(*name).instance.reset();
+    }
+}
+
 result<void> kernel::add(std::string name, std::vector<std::string> dependencies, factory make)
 {
     const auto [position, added] = this->registrations.try_emplace(
--- a/lib/serving/completion_codec.cpp
+++ b/lib/serving/completion_codec.cpp
@@ -84,9 +84,13 @@
     return request;
 }
 
-std::string engine_body(const completion_request& request, const emitted_answer& emitted)
+std::string engine_body(const completion_request& request, const model_id& model,
+                        const emitted_answer& emitted)
 {
     auto body = json::parse(request.body);
+    if (!model.value().empty()) {
+        body["model"] = model.value();
+    }
     body["stream"] = true;
     body["max_tokens"] = request.max_tokens;
     body.erase("resume");
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -36,7 +36,8 @@
       admitted(std::move(admitted)),
       accepted_at(services.time.now()),
       accepted_wall(services.time.wall_now()),
-      on_ended(std::move(on_ended))
+      on_ended(std::move(on_ended)),
+      next_pause(services.settings.retry_pause)
 {
 }
 
@@ -61,12 +62,6 @@
     auto wanted = this->describe();
     wanted.excluded = this->excluded;
     auto chosen = this->services.routes.choose(wanted);
-    if (!chosen && !this->excluded.empty()) {
-        // Better an endpoint that failed once than none.
-        this->excluded.clear();
-        wanted.excluded.clear();
-        chosen = this->services.routes.choose(wanted);
-    }
     if (!chosen) {
         this->choose_failed(chosen.error());
         return;
@@ -84,9 +79,12 @@
                              this->services.routes.retry_after(this->admitted.service->id));
         return;
     }
+    // After a pause an endpoint that failed once is better than none.
+    this->excluded.clear();
     auto self = this->shared_from_this();
-    this->retry_timer = this->services.time.call_after(this->services.settings.retry_pause,
-                                                       [self] { self->attempt_now(); });
+    this->retry_timer =
+        this->services.time.call_after(this->next_pause, [self] { self->attempt_now(); });
+    this->next_pause = std::min(2 * this->next_pause, this->services.settings.longest_retry_pause);
 }
 
 void request_flow::log_decision(const route_decision& decision) const
@@ -131,7 +129,6 @@
     this->target = *found;
     ++this->attempts;
     this->attempt = attempt_id{this->admitted.id.value() + "/" + std::to_string(this->attempts)};
-    this->dispatched_at = this->services.time.now();
     this->first_progress = true;
     this->services.routes.dispatched(this->attempt, this->target.id, wanted);
     auto request = this->next_attempt();
@@ -188,7 +185,7 @@
     this->services.counters.count("eelgrassbend_attempt_failures_total",
                                   {{"service", this->admitted.service->id.value()}}, 1);
     const bool may_repeat = dispatched == dispatch_state::not_sent || this->repeatable();
-    if (!may_repeat || this->attempts >= this->services.settings.most_attempts) {
+    if (!may_repeat) {
         this->refuse_request(reason, this->outcome_so_far());
         return;
     }
--- a/lib/standin/execution_log.cpp
+++ b/lib/standin/execution_log.cpp
@@ -1,4 +1,4 @@
-#include "execution_log.h"
+#include "eelgrassbend/standin/execution_log.h"
 
 #include <nlohmann/json.hpp>
 
--- a/lib/standin/log_service.cpp
+++ b/lib/standin/log_service.cpp
@@ -1,6 +1,6 @@
 #include "log_service.h"
 
-#include "endpoint.h"
+#include "eelgrassbend/standin/endpoint.h"
 
 #include <nlohmann/json.hpp>
 
--- a/lib/standin/model_messages.cpp
+++ b/lib/standin/model_messages.cpp
@@ -1,6 +1,6 @@
 #include "model_messages.h"
 
-#include "endpoint.h"
+#include "eelgrassbend/standin/endpoint.h"
 
 #include "eelgrassbend/routing/router.h"
 
--- a/lib/standin/platform_standin.cpp
+++ b/lib/standin/platform_standin.cpp
@@ -1,7 +1,7 @@
 #include "eelgrassbend/standin/platform_standin.h"
 
 #include "cloud_account.h"
-#include "endpoint.h"
+#include "eelgrassbend/standin/endpoint.h"
 #include "log_service.h"
 #include "platform_faults.h"
 
--- a/unittests/kernel/kernel_test.cpp
+++ b/unittests/kernel/kernel_test.cpp
@@ -44,6 +44,37 @@
     BOOST_TEST(events == "+b+c+a-a-c-b.");
 }
 
+BOOST_AUTO_TEST_CASE(services_are_destroyed_before_their_dependencies)
+{
+    class mourner : public service {
+    public:
+        mourner(std::string name, std::string& events) : name(std::move(name)), events(events) {}
+
+        mourner(const mourner&) = delete;
+        mourner& operator=(const mourner&) = delete;
+
+        ~mourner() override { this->events += this->name; }
+
+    private:
+        std::string name;
+        std::string& events;
+    };
+
+    std::string events;
+    {
+        kernel core;
+        for (const auto& [name, needs] : std::map<std::string, std::vector<std::string>>{
+                 {"a", {"c"}}, {"b", {}}, {"c", {"b"}}}) {
+            auto make = [name = name, &events](const resolved_services&) {
+                return std::make_shared<mourner>(name, events);
+            };
+            BOOST_TEST(core.add(name, needs, make).has_value());
+        }
+        BOOST_TEST(core.start().has_value());
+    }
+    BOOST_TEST(events == "acb");
+}
+
 BOOST_AUTO_TEST_CASE(a_missing_dependency_is_named)
 {
     std::string events;
--- a/unittests/serving/model_flow_test.cpp
+++ b/unittests/serving/model_flow_test.cpp
@@ -141,6 +141,33 @@
     BOOST_TEST(this->bills.intended.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(an_engine_is_asked_for_the_model_of_the_service, serving_fixture)
+{
+    this->send("POST", "/v1/chat/completions",
+               R"({"model":"draft-llm","messages":[{"role":"user","content":"x"}]})");
+    const auto body = nlohmann::json::parse(this->client.last().request.body);
+    BOOST_TEST(body["model"] == "draft");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_every_engine_refuses_is_tried_until_its_deadline,
+                        serving_fixture)
+{
+    const auto answer = this->send("POST", "/v1/chat/completions", whole);
+    for (int step = 0; step < 59; ++step) {
+        for (auto& attempt : std::vector{this->client.attempts}) {
+            if (attempt->observer != nullptr) {
+                attempt->observer->head(503, {});
+            }
+        }
+        this->time.run_for(seconds{1});
+        BOOST_TEST(!answer->ended);
+    }
+    BOOST_TEST(this->client.attempts.size() > 10);
+    BOOST_TEST(this->client.attempts.size() < 150);
+    this->time.run_for(seconds{2});
+    BOOST_TEST(answer->status == 504);
+}
+
 BOOST_FIXTURE_TEST_CASE(after_its_deadline_a_request_ends_as_unknown, serving_fixture)
 {
     const auto answer = this->send("POST", "/v1/chat/completions", whole);
