--- a/include/eelgrassbend/bundle/publisher.h
+++ b/include/eelgrassbend/bundle/publisher.h
@@ -26,8 +26,8 @@
     publication_status status = publication_status::unknown;
     std::string reason; ///< and what to do; empty if accepted
     record_id record;
-    std::optional<log_offset> offset; ///< of the record, once it was read back
-    bundle_version in_force;          ///< when the publisher last read the stream
+    std::optional<log_offset> offset;       ///< of the record, once it was read back
+    std::optional<bundle_version> in_force; ///< as last read; none if the stream was not read
 };
 
 struct publisher_options {
--- a/lib/bundle/publisher.cpp
+++ b/lib/bundle/publisher.cpp
@@ -165,7 +165,7 @@
             return;
         }
         this->finish(publication_status::not_appended,
-                     problem + "; nothing was appended, publish again");
+                     problem + "; this run appended nothing, publish again");
         return;
     }
     this->timers.call_after(this->options.retry_delay, [this, watch = std::weak_ptr{this->alive}] {
@@ -184,7 +184,9 @@
     if (this->decision) {
         outcome.offset = this->decision->offset;
     }
-    outcome.in_force = this->fold.current()->version;
+    if (this->reader.based()) {
+        outcome.in_force = this->fold.current()->version;
+    }
     const auto handler = std::exchange(this->done, nullptr);
     handler(outcome);
 }
--- a/unittests/bundle/publisher_test.cpp
+++ b/unittests/bundle/publisher_test.cpp
@@ -139,6 +139,7 @@
     out.start();
     this->run(seconds{60});
     BOOST_TEST((out.status() == publication_status::not_appended));
+    BOOST_TEST(!out.outcome->in_force.has_value());
     this->shared.log.outage = false;
     BOOST_TEST(this->records() == 0U);
 }
@@ -183,7 +184,7 @@
     again.start();
     this->run(seconds{5});
     BOOST_TEST((again.status() == publication_status::accepted)); // it was, before version 2
-    BOOST_TEST(again.outcome->in_force.value() == 2U);
+    BOOST_TEST(again.outcome->in_force->value() == 2U);
 }
 
 BOOST_FIXTURE_TEST_CASE(what_cannot_win_is_refused_without_an_append, publisher_fixture)
