--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -14,6 +14,8 @@
 std::unique_ptr<experiment> make_audit_experiment();
 std::unique_ptr<experiment> make_load_experiment();
 std::unique_ptr<experiment> make_routing_experiment();
+std::unique_ptr<experiment> make_claims_experiment();
+std::unique_ptr<experiment> make_ledger_experiment();
 
 } // namespace eelgrassbend::bench
 
