Send long lists of executions whole and cut pages of the log

An answer of more than 8 MB lost its connection, so that a long list of executions or a page of large records could never be read. The bound on unsent bytes now holds for streams only; a page of the log ends at a million bytes of payload, with at least one record.

--- a/lib/standin/http_session.cpp
+++ b/lib/standin/http_session.cpp
@@ -268,10 +268,6 @@
         return;
     }
     this->pending += bytes;
-    if (this->pending.size() > pending_limit) {
-        this->lose_connection();
-        return;
-    }
     this->flush();
 }
 
@@ -280,6 +276,10 @@
     std::ostringstream chunk;
     chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
     this->send_bytes(chunk.str());
+    // A reader that does not keep up with a stream must not fill the memory.
+    if (this->pending.size() > pending_limit) {
+        this->lose_connection();
+    }
 }
 
 void http_session::finish_answer()
--- a/lib/standin/plain_endpoint.cpp
+++ b/lib/standin/plain_endpoint.cpp
@@ -8,6 +8,8 @@
 
 namespace eelgrassbend::standin {
 
+static constexpr std::int64_t largest_padding = 16'000'000; // bytes
+
 static load_report empty_report(const engine_standin_settings& settings)
 {
     load_report report;
@@ -97,7 +99,7 @@
 std::string plain_endpoint::answer_body(const http_request& request) const
 {
     const auto number = std::to_string(this->finished);
-    const auto padding = std::clamp<std::int64_t>(request.number("bytes", 0), 0, 4'000'000);
+    const auto padding = std::clamp<std::int64_t>(request.number("bytes", 0), 0, largest_padding);
     nlohmann::json body{{"service", this->settings.service},
                         {"endpoint", this->settings.name},
                         {"execution", this->finished},
--- a/lib/standin/record_store.cpp
+++ b/lib/standin/record_store.cpp
@@ -5,6 +5,9 @@
 
 namespace eelgrassbend::standin {
 
+/// Payload in one page, but for a single larger record.
+static constexpr std::size_t page_bytes = 1'000'000;
+
 record_store::record_store(duration retention_time, std::size_t retention_records)
     : retention_time(retention_time), retention_records(retention_records)
 {
@@ -47,8 +50,15 @@
     page.first = entry.end - entry.records.size();
     const auto skipped = std::clamp(from, page.first, page.end) - page.first;
     const auto begin = entry.records.begin() + static_cast<std::ptrdiff_t>(skipped);
-    const auto count = std::min<std::size_t>(limit, entry.records.size() - skipped);
-    page.records.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+    std::size_t bytes = 0;
+    for (auto record = begin; record != entry.records.end() && page.records.size() < limit;
+         ++record) {
+        bytes += record->payload.size();
+        if (bytes > page_bytes && !page.records.empty()) {
+            break;
+        }
+        page.records.push_back(*record);
+    }
     return page;
 }
 
--- a/unittests/standin/engine_standin_test.cpp
+++ b/unittests/standin/engine_standin_test.cpp
@@ -260,9 +260,10 @@
     BOOST_TEST(entry.at("idempotency_key") == "k1");
     BOOST_TEST(entry.at("digest") == sha256_hex(first.body));
     BOOST_TEST(entry.at("whole") == true);
+    BOOST_TEST(exchange(test.port, "GET", "/orders?bytes=12000000").whole);
     test.set_faults({{"truncate_after_tokens", 5}});
     BOOST_TEST(!exchange(test.port, "GET", "/orders").whole);
-    BOOST_TEST(test.executions().at(2).at("whole") == false);
+    BOOST_TEST(test.executions().at(3).at("whole") == false);
 }
 
 BOOST_AUTO_TEST_CASE(a_running_call_of_a_plain_service_outlives_its_connection)
--- a/unittests/standin/http_probe.cpp
+++ b/unittests/standin/http_probe.cpp
@@ -11,6 +11,8 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+static constexpr std::size_t body_limit = 64'000'000; // bytes
+
 std::string probe_answer::field(const std::string& name) const
 {
     for (const auto& [key, value] : this->fields) {
@@ -55,6 +57,7 @@
 probe_answer http_probe::receive()
 {
     http::response_parser<http::string_body> parser;
+    parser.body_limit(body_limit);
     boost::system::error_code failure;
     http::read(this->inner->socket, this->inner->buffer, parser, failure);
     probe_answer answer;
--- a/unittests/standin/platform_standin_test.cpp
+++ b/unittests/standin/platform_standin_test.cpp
@@ -78,6 +78,26 @@
     BOOST_TEST(test.post("/log/bundles", {{"records", {{{"id", 1}}}}}) == 400);
 }
 
+BOOST_AUTO_TEST_CASE(a_page_of_large_records_is_cut_and_read_on)
+{
+    running_platform test;
+    const json record{{"id", "large"}, {"payload", std::string(600'000, 'A')}};
+    const json body{{"records", json::array({record, record, record})}};
+    for (int append = 0; append < 8; ++append) {
+        BOOST_TEST(test.post("/log/bundles", body) == 200);
+    }
+    std::size_t next = 0;
+    while (next < 24U) {
+        const auto page = exchange(test.port, "GET", "/log/bundles?from=" + std::to_string(next));
+        BOOST_REQUIRE(page.whole);
+        BOOST_TEST(page.body.size() < 2'000'000U);
+        BOOST_REQUIRE(!page.json().at("records").empty());
+        BOOST_TEST(page.json().at("records").at(0).at("offset") == next);
+        next += page.json().at("records").size();
+    }
+    BOOST_TEST(next == 24U);
+}
+
 BOOST_AUTO_TEST_CASE(a_read_waits_for_the_next_record)
 {
     running_platform test;
