Look only at expired deadlines in a step of the engine model

Each step asked every attempt, waiting ones too, for its deadline, which made a long queue slow to simulate. An index by time replaces the scan.

--- a/lib/engine_model/implementation.cpp
+++ b/lib/engine_model/implementation.cpp
@@ -91,6 +91,9 @@
     }
     auto entry = this->make_stream(std::move(request), observer);
     this->streams.emplace(entry->request.attempt.value(), entry);
+    if (entry->deadline) {
+        this->deadlines.emplace(std::pair{*entry->deadline, entry->arrival}, entry);
+    }
     this->waiting_prompt_tokens += entry->sequence.tokens();
     this->waiting.emplace(key_of(*entry), std::move(entry));
     this->note_load();
@@ -265,18 +268,10 @@
 
 void engine_model::implementation::cancel_expired()
 {
-    std::vector<stream_pointer> expired;
-    for (const auto& [attempt, entry] : this->streams) {
-        if (entry->deadline && *entry->deadline <= this->timers.now()) {
-            expired.push_back(entry);
-        }
-    }
-    std::sort(expired.begin(), expired.end(),
-              [](const auto& left, const auto& right) { return left->arrival < right->arrival; });
-    for (const auto& entry : expired) {
-        if (!entry->ended && !this->stopped) {
-            this->cancel_stream(entry);
-        }
+    const auto now = this->timers.now();
+    while (!this->stopped && !this->deadlines.empty() &&
+           this->deadlines.begin()->first.first <= now) {
+        this->cancel_stream(stream_pointer{this->deadlines.begin()->second});
     }
 }
 
@@ -284,6 +279,9 @@
 {
     entry->ended = true;
     this->streams.erase(entry->request.attempt.value());
+    if (entry->deadline) {
+        this->deadlines.erase({*entry->deadline, entry->arrival});
+    }
     if (this->waiting.erase(key_of(*entry)) > 0) {
         this->waiting_prompt_tokens -= entry->sequence.tokens();
         return;
--- a/lib/engine_model/implementation.h
+++ b/lib/engine_model/implementation.h
@@ -110,6 +110,8 @@
     std::map<queue_key, stream_pointer> waiting;
     std::vector<stream_pointer> running;
     std::unordered_map<std::string, stream_pointer> streams; ///< by attempt
+    std::map<std::pair<monotonic_time, std::uint64_t>, stream_pointer>
+        deadlines; ///< by time and arrival
     std::deque<std::pair<attempt_id, std::vector<std::uint64_t>>> ended_lately;
     std::int64_t waiting_prompt_tokens = 0;
     std::uint64_t next_arrival = 0;
