--- a/lib/standin/engine_standin.cpp
+++ b/lib/standin/engine_standin.cpp
@@ -38,6 +38,7 @@
 public:
     implementation(const engine_standin_settings& given, event_loop& loop)
         : settings(given),
+          executions(given.executions_file),
           server(loop, given.ip, given.port,
                  [this](const auto& request, auto answer) { this->serve(request, answer); }),
           behind(make_endpoint(this->settings, loop, this->executions))
