--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -21,6 +21,8 @@
     known.push_back(make_routing_experiment());
     known.push_back(make_claims_experiment());
     known.push_back(make_ledger_experiment());
+    known.push_back(make_membership_experiment());
+    known.push_back(make_dissemination_experiment());
     return known;
 }
 
