Pack messages and refuse UUIDv7 times that cannot be held

Cause: the sanitizer found a signed overflow in uuid_v7_time on a damaged claim record: 48 bits of milliseconds reach beyond the year 2262, and a caller could send such an idempotency key. Change: uuid_v7_time refuses times after 2199. Messages use Cap'n Proto's packed form.

--- a/include/eelgrassbend/codec/capnp_bytes.h
+++ b/include/eelgrassbend/codec/capnp_bytes.h
@@ -5,10 +5,10 @@
 #include "eelgrassbend/support/error.h"
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <kj/exception.h>
+#include <kj/io.h>
 
-#include <cstring>
 #include <string>
 #include <string_view>
 
@@ -17,10 +17,12 @@
 /// The longest Cap'n Proto message that is read, in bytes.
 inline constexpr std::size_t capnp_message_limit = std::size_t{4} * 1024 * 1024;
 
+/// The message in Cap'n Proto's packed form.
 inline std::string to_bytes(capnp::MessageBuilder& message)
 {
-    const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
     return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
@@ -39,22 +41,21 @@
     return {reinterpret_cast<const capnp::byte*>(bytes.data()), bytes.size()};
 }
 
-/// Calls `convert` with the root of type `Root` in `bytes`. Errors: `invalid_argument` with
-/// `step` if the bytes are not such a message.
+/// Calls `convert` with the root of type `Root` in the packed message `bytes`. Errors:
+/// `invalid_argument` with `step` if the bytes are not such a message.
 template <typename Value, typename Root, typename Convert>
 result<Value> from_bytes(std::string_view bytes, const char* step, Convert convert)
 {
-    if (bytes.size() > capnp_message_limit || bytes.size() % sizeof(capnp::word) != 0) {
-        return make_error(errc::invalid_argument, step, {}, "wrong size");
+    if (bytes.size() > capnp_message_limit) {
+        return make_error(errc::invalid_argument, step, {}, "too long");
     }
-    // Messages are read in words, and a string need not be aligned to them.
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.begin(), bytes.data(), bytes.size());
+    kj::ArrayInputStream in(as_data(bytes));
     try {
+        // The limit holds for the unpacked size as well, before memory is taken for it.
         capnp::ReaderOptions options;
-        options.traversalLimitInWords = 2 * capnp_message_limit / sizeof(capnp::word);
-        capnp::FlatArrayMessageReader reader(words, options);
-        return convert(reader.getRoot<Root>());
+        options.traversalLimitInWords = capnp_message_limit / sizeof(capnp::word);
+        capnp::PackedMessageReader reader(in, options);
+        return convert(reader.template getRoot<Root>());
     }
     catch (const kj::Exception& failure) {
         return make_error(errc::invalid_argument, step, {}, failure.getDescription().cStr());
--- a/lib/support/uuid.cpp
+++ b/lib/support/uuid.cpp
@@ -10,6 +10,8 @@
 namespace eelgrassbend {
 
 static constexpr int timestamp_bytes = 6;
+/// 2200-01-01T00:00:00Z; the 48 bits of a UUIDv7 reach far beyond what wall_time can hold.
+static constexpr std::int64_t latest_milliseconds = 7'258'118'400'000;
 static constexpr std::uint8_t version_7 = 0x70;
 static constexpr std::uint8_t variant_rfc = 0x80;
 
@@ -52,6 +54,9 @@
     for (int index = 0; index < timestamp_bytes; ++index) {
         milliseconds = (milliseconds << 8) | id.data[index];
     }
+    if (milliseconds > latest_milliseconds) {
+        return malformed();
+    }
     return wall_time{std::chrono::milliseconds{milliseconds}};
 }
 
--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -33,6 +33,7 @@
     const auto text = make_uuid_v7(made, random);
     BOOST_TEST((uuid_v7_time(text).value() == made));
     BOOST_TEST(!uuid_v7_time("not a uuid").has_value());
+    BOOST_TEST(!uuid_v7_time("ffffffff-ffff-7fff-bfff-ffffffffffff").has_value());
     BOOST_TEST(!uuid_v7_time("7f8c1d1e-3d8e-4f6a-9d5b-0c1d2e3f4a5b").has_value());
 }
 
