Steer callers to shuffle shards, and measure a decision

Callers ask the system which entry nodes to use. discovery answers the shard of an organisation: rendezvous order over live nodes of the region, spread over zones, all nodes up to 8 and 8 of more; two nodes for each service get most of the weight, so that prefixes meet there. It names the nodes that watch an endpoint, other zones first; watch digests are paced to 10 KB a second.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -12,6 +12,7 @@
 using experiment_list = std::vector<std::unique_ptr<experiment>>;
 
 std::unique_ptr<experiment> make_routing_experiment();
+std::unique_ptr<experiment> make_decision_experiment();
 
 } // namespace eelgrassbend::bench
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -17,6 +17,7 @@
 {
     experiment_list known;
     known.push_back(make_routing_experiment());
+    known.push_back(make_decision_experiment());
     return known;
 }
 
--- /dev/null
+++ b/include/eelgrassbend/discovery/discovery.h
@@ -0,0 +1,62 @@
+#ifndef EELGRASSBEND_DISCOVERY_DISCOVERY_H
+#define EELGRASSBEND_DISCOVERY_DISCOVERY_H
+
+#include "eelgrassbend/membership/membership.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <vector>
+
+namespace eelgrassbend {
+
+/// An entry node that a caller may use.
+struct entry_address {
+    node_id node;
+    network_address address;
+    availability_zone zone;
+    std::uint32_t weight = 1; ///< callers choose in proportion
+};
+
+/// The answer to GET /v1/entries.
+struct entry_answer {
+    std::vector<entry_address> entries;
+    duration time_to_live{};
+};
+
+/// An entry node leaving the answers serves on for at least this long.
+constexpr duration entry_time_to_live = std::chrono::seconds{5};
+
+/// Entry nodes of a shard for `nodes` live ones in a region: all when there are few.
+std::size_t shard_size(std::size_t nodes);
+
+/// Steers callers to few entry nodes for each organisation and service.
+class discovery {
+public:
+    explicit discovery(const membership& members) : members(members) {}
+
+    /// Live nodes of this node's region for the organisation and service; leaving, suspect and dead
+    /// ones are left out. Only if there are none, those of other regions.
+    [[nodiscard]] entry_answer entries(const organisation_id& organisation,
+                                       const service_id& service) const;
+
+    /// The other nodes of the organisation's shard for any service, for limits.
+    [[nodiscard]] std::vector<node_id> peers_of(const organisation_id& organisation) const;
+
+    /// The nodes that watch an endpoint in `zone`, those of other zones first.
+    [[nodiscard]] std::vector<node_id> watchers_of(const endpoint_id& endpoint,
+                                                   const availability_zone& zone) const;
+
+private:
+    [[nodiscard]] std::vector<member> live_members() const;
+
+    const membership& members;
+};
+
+/// Body of the answer to GET /v1/entries.
+nlohmann::json to_json(const entry_answer& answer);
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/discovery/discovery.cpp
@@ -0,0 +1,144 @@
+#include "eelgrassbend/discovery/discovery.h"
+
+#include "eelgrassbend/support/hash.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace eelgrassbend {
+
+namespace {
+
+/// Up to this many live nodes every one is in every shard.
+constexpr std::size_t few_nodes = 8;
+constexpr std::size_t large_shard = 8;
+/// Nodes of a shard that get most of the callers, so that prefixes meet there.
+constexpr std::size_t preferred_nodes = 2;
+constexpr std::uint32_t preferred_weight = 12;
+constexpr std::uint32_t other_weight = 1;
+constexpr std::size_t watchers_per_endpoint = 3;
+
+struct ranked_member {
+    std::uint64_t rank = 0;
+    member node;
+};
+
+} // namespace
+
+std::size_t shard_size(std::size_t nodes)
+{
+    return nodes <= few_nodes ? nodes : large_shard;
+}
+
+/// Members by rendezvous rank for `key`, the best first.
+static std::vector<ranked_member> ranked(const std::string& key, std::vector<member> nodes)
+{
+    const auto seed = stable_hash(key);
+    std::vector<ranked_member> order;
+    order.reserve(nodes.size());
+    for (auto& node : nodes) {
+        const auto rank = stable_hash(node.id.value(), seed);
+        order.push_back({rank, std::move(node)});
+    }
+    std::ranges::sort(order, std::ranges::greater{}, &ranked_member::rank);
+    return order;
+}
+
+/// The first `count`, each time from the zone that has the fewest so far, so that the loss of a
+/// zone takes no shard whole.
+static std::vector<member> spread_over_zones(std::vector<ranked_member> order, std::size_t count)
+{
+    std::vector<member> chosen;
+    std::map<availability_zone, std::size_t> used;
+    while (chosen.size() < count && !order.empty()) {
+        const auto next = std::ranges::min_element(
+            order, {}, [&](const ranked_member& each) { return used[each.node.zone]; });
+        ++used[next->node.zone];
+        chosen.push_back(std::move(next->node));
+        order.erase(next);
+    }
+    return chosen;
+}
+
+entry_answer discovery::entries(const organisation_id& organisation,
+                                const service_id& service) const
+{
+    auto nodes = this->live_members();
+    const auto count = shard_size(nodes.size());
+    // The shard is the organisation's, so that its limits stay in one place; the service decides
+    // which nodes of it are preferred.
+    const auto shard = spread_over_zones(ranked(organisation.value(), std::move(nodes)), count);
+    const auto key = organisation.value() + "\n" + service.value();
+    const auto order = spread_over_zones(ranked(key, shard), shard.size());
+    entry_answer answer;
+    answer.time_to_live = entry_time_to_live;
+    for (const auto& node : order) {
+        const bool preferred = answer.entries.size() < preferred_nodes;
+        answer.entries.push_back(
+            {node.id, node.callers, node.zone, preferred ? preferred_weight : other_weight});
+    }
+    return answer;
+}
+
+std::vector<node_id> discovery::peers_of(const organisation_id& organisation) const
+{
+    auto nodes = this->live_members();
+    const auto count = shard_size(nodes.size());
+    std::vector<node_id> peers;
+    for (const auto& node :
+         spread_over_zones(ranked(organisation.value(), std::move(nodes)), count)) {
+        if (node.id != this->members.self().id) {
+            peers.push_back(node.id);
+        }
+    }
+    return peers;
+}
+
+std::vector<node_id> discovery::watchers_of(const endpoint_id& endpoint,
+                                            const availability_zone& zone) const
+{
+    auto order = ranked(endpoint.value(), this->live_members());
+    // A zone that fails takes the endpoint with it, but not those who should notice.
+    std::ranges::sort(order, std::ranges::greater{}, [&](const ranked_member& each) {
+        return std::pair{each.node.zone != zone, each.rank};
+    });
+    std::vector<node_id> watchers;
+    for (const auto& each : order) {
+        if (watchers.size() == watchers_per_endpoint) {
+            break;
+        }
+        watchers.push_back(each.node.id);
+    }
+    return watchers;
+}
+
+std::vector<member> discovery::live_members() const
+{
+    auto nodes = this->members.peers();
+    nodes.push_back(this->members.self());
+    std::erase_if(nodes, [](const member& each) { return each.state != member_state::alive; });
+    const auto& region = this->members.self().region;
+    const auto elsewhere = [&](const member& each) { return each.region != region; };
+    if (!std::ranges::all_of(nodes, elsewhere)) {
+        std::erase_if(nodes, elsewhere);
+    }
+    return nodes;
+}
+
+nlohmann::json to_json(const entry_answer& answer)
+{
+    auto entries = nlohmann::json::array();
+    for (const auto& entry : answer.entries) {
+        entries.push_back({{"node", entry.node.value()},
+                           {"address", entry.address.to_string()},
+                           {"zone", entry.zone.value()},
+                           {"weight", entry.weight}});
+    }
+    const auto ttl = std::chrono::duration_cast<std::chrono::seconds>(answer.time_to_live);
+    return {{"entries", entries}, {"ttl_seconds", ttl.count()}};
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/unittests/discovery/discovery_test.cpp
@@ -0,0 +1,178 @@
+#include "eelgrassbend/discovery/discovery.h"
+#include "eelgrassbend/discovery/watch_digest.h"
+#include "fakes/fixed_membership.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <set>
+
+namespace eelgrassbend {
+
+static const service_id draft{"draft-llm"};
+
+static std::set<std::string> names(const entry_answer& answer)
+{
+    std::set<std::string> found;
+    for (const auto& entry : answer.entries) {
+        found.insert(entry.node.value());
+    }
+    return found;
+}
+
+BOOST_AUTO_TEST_CASE(all_nodes_are_answered_when_there_are_few)
+{
+    const fakes::fixed_membership members(7, 4);
+    const discovery found(members);
+    BOOST_TEST(found.entries(organisation_id{"lodge"}, draft).entries.size() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(nodes_that_are_not_alive_are_left_out_at_once)
+{
+    fakes::fixed_membership members(6, 3);
+    members.known[1].state = member_state::leaving;
+    members.known[2].state = member_state::suspect;
+    members.known[3].state = member_state::dead;
+    const discovery found(members);
+    const auto answer = found.entries(organisation_id{"lodge"}, draft);
+    BOOST_TEST((names(answer) == std::set<std::string>{"n0", "n4", "n5"}));
+    members.known[0].state = member_state::leaving;
+    const auto later = found.entries(organisation_id{"lodge"}, draft);
+    BOOST_TEST((names(later) == std::set<std::string>{"n4", "n5"}));
+}
+
+BOOST_AUTO_TEST_CASE(shards_at_the_target_size_are_small_and_spread_over_zones)
+{
+    const fakes::fixed_membership members(390, 5);
+    const discovery found(members);
+    std::set<std::set<std::string>> shards;
+    for (int number = 0; number < 50; ++number) {
+        const organisation_id organisation{"org-" + std::to_string(number)};
+        const auto answer = found.entries(organisation, draft);
+        BOOST_TEST(answer.entries.size() == 8U);
+        std::set<availability_zone> zones;
+        for (const auto& entry : answer.entries) {
+            zones.insert(entry.zone);
+        }
+        BOOST_TEST(zones.size() == 5U);
+        shards.insert(names(answer));
+    }
+    BOOST_TEST(shards.size() == 50U);
+}
+
+BOOST_AUTO_TEST_CASE(the_loss_of_one_node_moves_few_entries)
+{
+    fakes::fixed_membership members(200, 5);
+    const discovery found(members);
+    std::map<int, std::set<std::string>> before;
+    for (int number = 0; number < 100; ++number) {
+        before[number] = names(found.entries(organisation_id{std::to_string(number)}, draft));
+    }
+    members.known[42].state = member_state::dead;
+    for (int number = 0; number < 100; ++number) {
+        const auto after = names(found.entries(organisation_id{std::to_string(number)}, draft));
+        std::set<std::string> kept;
+        std::ranges::set_intersection(before[number], after, std::inserter(kept, kept.end()));
+        // The lost node, and one more where the balance of the zones shifts.
+        BOOST_TEST(kept.size() >= 6U);
+        if (!before[number].contains("n42")) {
+            BOOST_TEST(kept.size() == 8U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_organisation_has_the_same_shard_for_limits_and_all_services)
+{
+    const fakes::fixed_membership members(390, 5);
+    const discovery found(members);
+    const organisation_id lodge{"lodge"};
+    const auto first = names(found.entries(lodge, draft));
+    BOOST_TEST((first == names(found.entries(lodge, service_id{"order-desk"}))));
+    for (const auto& peer : found.peers_of(lodge)) {
+        BOOST_TEST(first.contains(peer.value()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(two_nodes_in_different_zones_get_most_callers)
+{
+    const fakes::fixed_membership members(8, 4);
+    const discovery found(members);
+    const auto answer = found.entries(organisation_id{"lodge"}, draft);
+    std::uint32_t total = 0;
+    for (const auto& entry : answer.entries) {
+        total += entry.weight;
+    }
+    const auto preferred = answer.entries[0].weight + answer.entries[1].weight;
+    BOOST_TEST(preferred * 10 >= total * 7);
+    BOOST_TEST((answer.entries[0].zone != answer.entries[1].zone));
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_are_watched_from_other_zones)
+{
+    const fakes::fixed_membership members(8, 4);
+    const discovery found(members);
+    std::map<node_id, int> load;
+    for (int number = 0; number < 100; ++number) {
+        const endpoint_id endpoint{"e" + std::to_string(number)};
+        const auto watchers = found.watchers_of(endpoint, availability_zone{"zone-1"});
+        BOOST_TEST(watchers.size() == 3U);
+        for (const auto& watcher : watchers) {
+            ++load[watcher];
+            BOOST_TEST((watcher != node_id{"n1"} && watcher != node_id{"n5"}));
+        }
+    }
+    // Fifty each in the mean of the six nodes in other zones.
+    for (const auto& [node, count] : load) {
+        BOOST_TEST(count <= 75);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_answer_says_how_long_it_holds)
+{
+    const fakes::fixed_membership members(3, 3);
+    const discovery found(members);
+    const auto fields = to_json(found.entries(organisation_id{"lodge"}, draft));
+    BOOST_TEST(fields["ttl_seconds"] == 5);
+    BOOST_TEST(fields["entries"].size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(watch_digests_stay_within_the_budget_at_the_target_size)
+{
+    // 1,800 endpoints, each watched by 3 of 390 nodes, and used by the nodes of the shards that
+    // have work there.
+    const std::size_t watched = 1'800 * 3 / 390 + 1;
+    watch_digest digest;
+    digest.from = node_id{"entry-a-0123.gulf-south"};
+    for (std::size_t number = 0; number < watched; ++number) {
+        load_report report;
+        report.measured_at = wall_time{std::chrono::hours{500'000}};
+        report.slots = 16;
+        report.running = 16;
+        report.queued = 200;
+        report.queued_prompt_tokens = token_count{200'000};
+        report.tokens_per_second = 512.25;
+        digest.reports.push_back(
+            {endpoint_id{"engine-" + std::to_string(100'000 + number)}, report});
+    }
+    const auto bytes = encode(digest);
+    const auto decoded = decode_watch_digest(bytes);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded.value().reports.size() == watched);
+    BOOST_TEST(decoded.value().reports[3].report.queued_prompt_tokens.value() == 200'000);
+    const std::size_t receivers = 40;
+    const auto interval = watch_digest_interval(bytes.size(), receivers);
+    const double seconds = std::chrono::duration<double>{interval}.count();
+    const double sent = static_cast<double>(bytes.size() * receivers) / seconds;
+    BOOST_TEST(sent <= 10'000.0);
+    BOOST_TEST(seconds <= 6.0);
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_watch_digest_is_refused)
+{
+    BOOST_TEST(decode_watch_digest("").has_error());
+    BOOST_TEST(decode_watch_digest("\x92\xa1n\x91\x91\x01").has_error());
+    BOOST_TEST(decode_watch_digest("\x92\xa1n\x91\x91\xa1x").has_error());
+}
+
+} // namespace eelgrassbend
--- a/unittests/routing/predictive_test.cpp
+++ b/unittests/routing/predictive_test.cpp
@@ -30,6 +30,21 @@
     BOOST_TEST((fixture.chosen(100) == std::set<std::string>{"e1"}));
 }
 
+BOOST_AUTO_TEST_CASE(work_sent_since_the_measurement_is_added_to_a_report)
+{
+    routing_fixture fixture("predictive", 1);
+    fixture.clock.run_for(std::chrono::seconds{5});
+    for (int count = 0; count < 3; ++count) {
+        fixture.dispatch("e0");
+    }
+    fixture.clock.run_for(std::chrono::seconds{1});
+    // Two seconds ago four attempts of others ran there, and none of this node.
+    fixture.report("e0", 4, 16, std::chrono::seconds{2});
+    const auto decision = fixture.router.choose(make_request());
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision.value().candidates.front().load == 7.0);
+}
+
 BOOST_AUTO_TEST_CASE(own_work_is_not_counted_twice_by_a_report)
 {
     routing_fixture fixture("predictive", 1);
@@ -103,6 +118,7 @@
     boast.tokens_per_second = 40.0;
     const auto slow = fixture.dispatch("e1");
     fixture.stream(slow, 20, slow_gap);
+    BOOST_TEST(fixture.router.suspected(endpoint_id{"e1"}));
     boast.measured_at = fixture.clock.wall_now();
     fixture.router.report_load(endpoint_id{"e1"}, boast);
     BOOST_TEST((fixture.chosen(100) == std::set<std::string>{"e0", "e2"}));
--- a/unittests/routing/prefix_index_test.cpp
+++ b/unittests/routing/prefix_index_test.cpp
@@ -72,8 +72,8 @@
 {
     prefix_index index;
     const auto prefix = make_prefix(1, 16);
-    index.expect(7, prefix, 4);
     index.expect(8, prefix, 16);
+    index.expect(7, prefix, 4);
     index.expect(9, make_prefix(500, 16), 16);
     BOOST_TEST((index.holders(prefix, 4) == std::vector<endpoint_index>{8, 7}));
 }
