Let callers of the bench follow discovery

At 8 nodes the bench sent each request to any node, as no caller would: callers follow the weights that discovery answers. All policies get the same nodes.

--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -2,8 +2,10 @@
 
 #include "fakes/bundle_view.h"
 #include "fakes/endpoint_directory.h"
+#include "fakes/fixed_membership.h"
 #include "routing_figures.h"
 
+#include "eelgrassbend/discovery/discovery.h"
 #include "eelgrassbend/engine_model/engine_model.h"
 #include "eelgrassbend/routing/hedge_policy.h"
 #include "eelgrassbend/routing/service_router.h"
@@ -31,6 +33,7 @@
 constexpr duration slot_sample = std::chrono::milliseconds{50};
 constexpr double straggler_slowdown = 6.0;
 constexpr std::size_t most_attempts = 3;
+constexpr std::size_t zone_count = 4;
 
 /// One entry node.
 struct entry_node {
@@ -93,6 +96,8 @@
     void sample_slots();
     void begin(const work_item& item);
     void next_closed();
+    /// The node that a caller picks from the answer of discovery.
+    [[nodiscard]] std::size_t node_for(const work_item& item) const;
     /// False if no endpoint took the request.
     bool attempt(const flight_pointer& started);
     void plan_hedge(const flight_pointer& started, const route_decision& decision);
@@ -115,6 +120,9 @@
     std::vector<double> prices; ///< an hour
     std::unordered_map<endpoint_id, std::size_t> engine_by_id;
     std::vector<std::unique_ptr<entry_node>> nodes;
+    fakes::fixed_membership members;
+    discovery entries{members};
+    std::unordered_map<node_id, std::size_t> node_numbers;
     std::unordered_map<attempt_id, std::pair<flight_pointer, std::size_t>> flights;
     std::unordered_set<std::uint64_t> computed_blocks;
     routing_figures figures;
@@ -137,7 +145,8 @@
       work(work),
       options(options),
       random(options.seed),
-      bundles(with_policy(deployment.declared, options.policy))
+      bundles(with_policy(deployment.declared, options.policy)),
+      members(options.nodes, zone_count)
 {
     for (const auto& each : deployment.engines) {
         this->engine_by_id.emplace(each.info.id, this->engines.size());
@@ -159,6 +168,7 @@
     for (std::uint32_t number = 0; number < this->options.nodes; ++number) {
         auto& node = this->nodes.emplace_back(std::make_unique<entry_node>(
             this->options.seed * 1000 + number, this->timers, this->directory, this->bundles));
+        this->node_numbers.emplace(this->members.known[number].id, number);
         node->next_event.resize(this->engines.size());
         for (std::size_t engine = 0; engine < this->engines.size(); ++engine) {
             const auto phase = duration{static_cast<duration::rep>(
@@ -258,6 +268,24 @@
     }
 }
 
+std::size_t routing_run::node_for(const work_item& item) const
+{
+    const auto answer =
+        this->entries.entries(item.request.organisation, item.request.service).entries;
+    std::uint32_t total = 0;
+    for (const auto& entry : answer) {
+        total += entry.weight;
+    }
+    std::uint32_t draw = item.node % total;
+    for (const auto& entry : answer) {
+        if (draw < entry.weight) {
+            return this->node_numbers.at(entry.node);
+        }
+        draw -= entry.weight;
+    }
+    return 0;
+}
+
 nlohmann::json routing_run::run()
 {
     this->schedule_stragglers();
@@ -301,7 +329,7 @@
 {
     auto started = std::make_shared<flight>();
     started->item = &item;
-    started->node = this->nodes[item.node % this->nodes.size()].get();
+    started->node = this->nodes[this->node_for(item)].get();
     started->request = item.request;
     started->started = this->timers.now();
     started->counted = this->accepting && this->timers.now().time_since_epoch() >= warm_up;
