--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -310,7 +310,7 @@
 public:
     [[nodiscard]] entry_answer entries(const organisation_id&, const service_id&) const override
     {
-        return {{{node_id{"entry-1"}, availability_zone{"arusha-a"}, {"127.0.0.1", 8080}, 1}},
+        return {{{node_id{"entry-1"}, {"127.0.0.1", 8080}, availability_zone{"arusha-a"}, 1}},
                 std::chrono::seconds{2}};
     }
 };
