Tell a caller that has read everything from one that is gone

Change: after the end of an answer a closed side is no loss; the kernel says whether every byte was acknowledged, and a reset is told by the state of the connection. A service without endpoints is 503, not 404, and a node without endpoints is not ready.

--- a/bench/caller.cpp
+++ b/bench/caller.cpp
@@ -22,6 +22,7 @@
 
 static constexpr unsigned http_1_1 = 11;
 static constexpr std::size_t piece_bytes = 64 * 1024;
+static constexpr std::uint64_t longest_answer_bytes = 1ULL << 30U;
 
 static http::request<http::string_body> make_message(call_request& request)
 {
@@ -55,7 +56,7 @@
     auto token = asio::redirect_error(asio::use_awaitable, failure);
     beast::flat_buffer buffer;
     response_parser parser;
-    parser.body_limit(boost::none);
+    parser.body_limit(longest_answer_bytes);
     co_await http::async_read_header(stream, buffer, parser, token);
     if (failure) {
         co_return failure;
--- a/lib/entry/entry_status.cpp
+++ b/lib/entry/entry_status.cpp
@@ -25,6 +25,9 @@
     if (!this->endpoints.loaded()) {
         return "the host list has not been read";
     }
+    if (this->endpoints.all().empty()) {
+        return "no endpoint is known";
+    }
     return {};
 }
 
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/http.hpp>
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -284,7 +286,10 @@
             char byte = 0;
             const auto seen =
                 ::recv(self->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            if (seen <= 0) {
+            // A caller may close its side once it has read the end of the answer; whether it
+            // has all of it is then asked of the kernel.
+            const bool closed_after_end = seen == 0 && self->ending;
+            if (seen <= 0 && !closed_after_end) {
                 self->connection_failed("caller closed the connection");
             }
         });
@@ -396,9 +401,22 @@
     }
 }
 
+/// After a reset the kernel forgets what was not acknowledged.
+static bool is_reset(int socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    const bool known = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    return !known || info.tcpi_state == TCP_CLOSE;
+}
+
 // The kernel counts bytes that the other side has not acknowledged.
 void http_session::await_acknowledgement()
 {
+    if (is_reset(this->stream.socket().native_handle())) {
+        this->connection_failed("caller reset the connection");
+        return;
+    }
     int unacknowledged = 0;
     if (::ioctl(this->stream.socket().native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
         this->connection_failed("unacknowledged bytes cannot be read");
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -75,7 +75,12 @@
 void request_flow::choose_failed(const error& reason)
 {
     if (!this->dispatched_once) {
-        this->refuse_request(reason, request_outcome::not_run,
+        // A service of the bundle that has no endpoint may get one.
+        auto refusal = reason;
+        if (refusal.code == errc::not_found) {
+            refusal.code = make_error_code(errc::unavailable);
+        }
+        this->refuse_request(std::move(refusal), request_outcome::not_run,
                              this->services.routes.retry_after(this->admitted.service->id));
         return;
     }
--- a/unittests/net/http_server_test.cpp
+++ b/unittests/net/http_server_test.cpp
@@ -120,6 +120,43 @@
     BOOST_TEST(!delivered);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_caller_that_closes_after_the_last_byte_has_the_answer, server_fixture)
+{
+    for (int round = 0; round < 20; ++round) {
+        auto client = this->connect();
+        client.send(get_request);
+        BOOST_REQUIRE(this->wait_for_requests(this->handler.answers.size() + 1));
+        std::optional<bool> delivered;
+        this->handler.answers.back()->respond(
+            200, {}, std::string(3000, 'x'),
+            [&](const result<void>& done) { delivered = done.has_value(); });
+        constexpr std::size_t body_bytes = 3000;
+        BOOST_REQUIRE(client.receive_exactly(body_bytes + 1));
+        while (!client.received.ends_with(std::string(body_bytes, 'x'))) {
+            BOOST_REQUIRE(client.receive_exactly(client.received.size() + 1));
+        }
+        client.close();
+        BOOST_REQUIRE(run_until(this->context, [&] { return delivered.has_value(); }));
+        BOOST_TEST(*delivered);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_that_resets_has_no_answer, server_fixture)
+{
+    for (int round = 0; round < 20; ++round) {
+        auto client = this->connect();
+        client.send(get_request);
+        BOOST_REQUIRE(this->wait_for_requests(this->handler.answers.size() + 1));
+        std::optional<bool> delivered;
+        client.reset();
+        this->handler.answers.back()->respond(
+            200, {}, std::string(3000, 'x'),
+            [&](const result<void>& done) { delivered = done.has_value(); });
+        BOOST_REQUIRE(run_until(this->context, [&] { return delivered.has_value(); }));
+        BOOST_TEST(!*delivered);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(oversized_and_malformed_input_gets_its_4xx, server_fixture)
 {
     auto big_head = this->connect();
--- a/unittests/net/loopback.h
+++ b/unittests/net/loopback.h
@@ -56,6 +56,31 @@
         return this->receive([](const std::string&) { return false; });
     }
 
+    /// Lets the server run until `count` bytes have arrived, and no longer.
+    bool receive_exactly(std::size_t count)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+        while (this->received.size() < count && std::chrono::steady_clock::now() < end) {
+            boost::system::error_code failure;
+            if (this->socket.available(failure) == 0) {
+                this->context.poll_one();
+                this->context.restart();
+                continue;
+            }
+            const auto length = this->socket.read_some(boost::asio::buffer(this->piece), failure);
+            this->received.append(this->piece.data(), length);
+        }
+        return this->received.size() >= count;
+    }
+
+    /// Closes with a reset.
+    void reset()
+    {
+        boost::system::error_code failure;
+        this->socket.set_option(boost::asio::socket_base::linger(true, 0), failure);
+        this->socket.close(failure);
+    }
+
     void close()
     {
         boost::system::error_code failure;
--- a/unittests/serving/model_flow_test.cpp
+++ b/unittests/serving/model_flow_test.cpp
@@ -168,6 +168,16 @@
     BOOST_TEST(answer->status == 504);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_service_without_endpoints_is_unavailable_not_unknown_to_callers,
+                        serving_fixture)
+{
+    this->routes.nothing_known = true;
+    const auto answer = this->send("POST", "/v1/chat/completions", whole);
+    BOOST_TEST(answer->status == 503);
+    BOOST_TEST(answer->header("Eelgrassbend-Outcome") == "not-run");
+    BOOST_TEST(!answer->header("Retry-After").empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(after_its_deadline_a_request_ends_as_unknown, serving_fixture)
 {
     const auto answer = this->send("POST", "/v1/chat/completions", whole);
--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -133,6 +133,9 @@
 public:
     result<route_decision> choose(const route_request& request) override
     {
+        if (this->nothing_known) {
+            this->order.clear();
+        }
         for (const auto& id : this->order) {
             const bool tried = std::find(request.excluded.begin(), request.excluded.end(), id) !=
                                request.excluded.end();
@@ -140,7 +143,8 @@
                 return route_decision{id, "fake", "first", bundle_version{1}, {}};
             }
         }
-        return make_error(errc::unavailable, "choose endpoint", request.service.value());
+        const auto code = this->nothing_known ? errc::not_found : errc::unavailable;
+        return make_error(code, "choose endpoint", request.service.value());
     }
 
     void dispatched(const attempt_id& attempt, const endpoint_id&, const route_request&) override
@@ -166,6 +170,7 @@
 
     void report_cache(const endpoint_id&, const cache_event&) override {}
 
+    bool nothing_known = false;
     std::vector<endpoint_id> order;
     std::set<std::string> open;
 };
