Refuse on a known gap in an outage, and sign on publishing

Change: in an outage a node that a hint told of more refuses until it has pulled them, a hint starts a pull at once, and peers with a higher gossiped version are asked first. publish takes bundle files and key files; trusted keys default to the bundle's. Conclusion: what was not read is never guessed; bundle restore is the way back.

--- a/include/eelgrassbend/control/bundle_commands.h
+++ b/include/eelgrassbend/control/bundle_commands.h
@@ -14,10 +14,11 @@
 
 namespace eelgrassbend {
 
-command_result generate_key(const std::string& file);
+/// `name` is that of the operator; it may be empty.
+command_result generate_key(const std::string& name, const std::string& file);
 command_result check_bundle(const std::string& file);
-/// Signs a bundle file, or adds a signature to a signed bundle, and writes the signed bundle.
-command_result sign_bundle(const std::string& file, const std::string& key_file,
+/// Signs a bundle file, or adds signatures to a signed bundle, and writes the signed bundle.
+command_result sign_bundle(const std::string& file, const std::vector<std::string>& key_files,
                            const std::string& output);
 
 /// One value that differs between two bundles.
--- a/include/eelgrassbend/control/operator_files.h
+++ b/include/eelgrassbend/control/operator_files.h
@@ -7,17 +7,22 @@
 #include "eelgrassbend/support/error.h"
 
 #include <string>
+#include <vector>
 
 namespace eelgrassbend {
 
 /// Writes a key pair that only its owner can read. An error if the file exists.
-result<void> save_key(const std::string& path, const signing_key& key);
+result<void> save_key(const std::string& path, const std::string& name, const signing_key& key);
 result<signing_key> load_key(const std::string& path);
 
 /// A signed bundle is kept as the payload of its record.
 result<void> save_signed_bundle(const std::string& path, const signed_bundle& sealed);
 result<signed_bundle> load_signed_bundle(const std::string& path);
 
+/// Reads a bundle file (TOML) or a signed bundle, and adds a signature of each key file.
+result<signed_bundle> load_and_sign(const std::string& path,
+                                    const std::vector<std::string>& key_files);
+
 /// Reads a bundle file (TOML) or a signed bundle, whichever it is.
 result<bundle> load_bundle(const std::string& path);
 
--- a/lib/bundle/bundle_follower.cpp
+++ b/lib/bundle/bundle_follower.cpp
@@ -144,7 +144,8 @@
     };
     const bool heard =
         this->members.peers().empty() || recent_enough(this->pulled_at) || this->failures == 0;
-    if (is_log_outage(failure) && heard && recent_enough(this->whole_at)) {
+    const bool told_of_more = this->hinted_end > this->fold.next_offset();
+    if (is_log_outage(failure) && heard && !told_of_more && recent_enough(this->whole_at)) {
         this->whole_at = std::max(*this->whole_at, this->poll_sent);
     }
 }
@@ -242,7 +243,11 @@
     if (hint.value().record) {
         this->fold_from_peer(*hint.value().record);
     }
-    if (this->fold.next_offset() >= hint.value().end || this->polling || this->failures > 0) {
+    if (this->fold.next_offset() >= hint.value().end || this->polling) {
+        return;
+    }
+    if (this->failures > 0) {
+        this->pull();
         return;
     }
     const auto bound = static_cast<std::uint64_t>(this->options.hint_delay.count()) + 1;
@@ -251,11 +256,18 @@
 
 void bundle_follower::pull()
 {
-    const auto known = this->members.peers();
+    auto known = this->members.peers();
     if (this->pulling || known.empty()) {
         return;
     }
     this->pulling = true;
+    // Those that are known to be ahead come first.
+    const auto ahead = std::partition(known.begin(), known.end(), [&](const member& peer) {
+        return peer.bundle > this->fold.current()->version;
+    });
+    if (ahead != known.begin()) {
+        known.erase(ahead, known.end());
+    }
     const auto peer = known[random_below(this->random, known.size())].calls;
     this->peers.call(peer, peer_method::bundle_pull, encode_pull(this->fold.next_offset()),
                      this->options.peer_timeout,
--- a/lib/control/bundle_commands.cpp
+++ b/lib/control/bundle_commands.cpp
@@ -6,18 +6,18 @@
 
 namespace eelgrassbend {
 
-command_result generate_key(const std::string& file)
+command_result generate_key(const std::string& name, const std::string& file)
 {
     const auto key = generate_signing_key();
     if (!key) {
         return failed_command(key.error());
     }
-    const auto saved = save_key(file, key.value());
+    const auto saved = save_key(file, name, key.value());
     if (!saved) {
         return failed_command(saved.error());
     }
     return {exit_status::ok,
-            {{"file", file}, {"public_key", key.value().public_key}},
+            {{"name", name}, {"file", file}, {"public_key", key.value().public_key}},
             "public key " + key.value().public_key + "\nkey file " + file + " (keep it secret)\n"};
 }
 
@@ -44,37 +44,13 @@
     return outcome;
 }
 
-static result<signed_bundle> load_to_sign(const std::string& file)
-{
-    auto sealed = load_signed_bundle(file);
-    if (sealed) {
-        return sealed;
-    }
-    const auto contents = load_bundle(file);
-    if (!contents) {
-        return contents.error();
-    }
-    if (contents.value().operators.empty()) {
-        return make_error(errc::invalid_argument, "sign bundle", file, "it names no operators");
-    }
-    return make_signed_bundle(contents.value());
-}
-
-command_result sign_bundle(const std::string& file, const std::string& key_file,
+command_result sign_bundle(const std::string& file, const std::vector<std::string>& key_files,
                            const std::string& output)
 {
-    auto sealed = load_to_sign(file);
+    const auto sealed = load_and_sign(file, key_files);
     if (!sealed) {
         return failed_command(sealed.error());
     }
-    const auto key = load_key(key_file);
-    if (!key) {
-        return failed_command(key.error());
-    }
-    const auto added = add_signature(sealed.value(), key.value());
-    if (!added) {
-        return failed_command(added.error());
-    }
     const auto saved = save_signed_bundle(output, sealed.value());
     if (!saved) {
         return failed_command(saved.error());
--- a/lib/control/operator_files.cpp
+++ b/lib/control/operator_files.cpp
@@ -32,7 +32,7 @@
     return boost::outcome_v2::success();
 }
 
-result<void> save_key(const std::string& path, const signing_key& key)
+result<void> save_key(const std::string& path, const std::string& name, const signing_key& key)
 {
     constexpr const char* step = "write signing key";
     if (std::filesystem::exists(path)) {
@@ -49,7 +49,8 @@
     if (failure) {
         return make_error(errc::invalid_argument, step, path, failure.message());
     }
-    const nlohmann::json values{{"public_key", key.public_key}, {"secret_key", key.secret_key}};
+    const nlohmann::json values{
+        {"name", name}, {"public_key", key.public_key}, {"secret_key", key.secret_key}};
     return write_text(path, values.dump() + "\n", step);
 }
 
@@ -97,6 +98,42 @@
     return parse_signed(text.value(), path);
 }
 
+static result<signed_bundle> load_to_sign(const std::string& path)
+{
+    auto sealed = load_signed_bundle(path);
+    if (sealed) {
+        return sealed;
+    }
+    const auto contents = load_bundle(path);
+    if (!contents) {
+        return contents.error();
+    }
+    if (contents.value().operators.empty()) {
+        return make_error(errc::invalid_argument, "sign bundle", path, "it names no operators");
+    }
+    return make_signed_bundle(contents.value());
+}
+
+result<signed_bundle> load_and_sign(const std::string& path,
+                                    const std::vector<std::string>& key_files)
+{
+    auto sealed = load_to_sign(path);
+    if (!sealed) {
+        return sealed;
+    }
+    for (const auto& key_file : key_files) {
+        const auto key = load_key(key_file);
+        if (!key) {
+            return key.error();
+        }
+        const auto added = add_signature(sealed.value(), key.value());
+        if (!added) {
+            return added.error();
+        }
+    }
+    return sealed;
+}
+
 result<bundle> load_bundle(const std::string& path)
 {
     const auto text = read_text(path, "read bundle");
--- a/tools/eelgrassbendctl/main.cpp
+++ b/tools/eelgrassbendctl/main.cpp
@@ -10,6 +10,7 @@
 #include "eelgrassbend/platform/http_platform.h"
 
 #include <absl/flags/flag.h>
+#include <absl/strings/str_split.h>
 
 #include <utility>
 
@@ -29,11 +30,14 @@
 
 ABSL_FLAG(bool, json, false, "print one JSON object in place of text");
 ABSL_FLAG(bool, help, false, "print the help");
-ABSL_FLAG(std::string, key, "", "key file of an operator");
+ABSL_FLAG(std::string, keys, "", "key files of operators, separated by commas");
+ABSL_FLAG(std::string, name, "", "name of the operator whose key is made");
 ABSL_FLAG(std::string, out, "", "file to write");
 ABSL_FLAG(std::string, platform, "", "address of the platform, as ip:port");
-ABSL_FLAG(std::string, trusted_keys, "",
-          "public keys that sign the first bundle, as in the nodes' settings");
+ABSL_FLAG(
+    std::string, trusted_keys, "",
+    "public keys that sign the first bundle, as in the nodes' settings; if it is left out, those "
+    "of the operators that the bundle names");
 ABSL_FLAG(std::uint32_t, trusted_signatures, 1, "how many of them must sign the first bundle");
 ABSL_FLAG(std::string, entries, "", "addresses of entry nodes, as ip:port,ip:port");
 ABSL_FLAG(std::string, organisation, "", "id of an organisation");
@@ -47,16 +51,19 @@
 Usage: eelgrassbendctl COMMAND [ARGUMENTS] [--FLAG=VALUE]...
 
 Keys and bundles
-  keys generate --out=KEY                    make an Ed25519 key pair; KEY is the file to keep secret
+  keys generate --out=KEY [--name=OPERATOR]  make an Ed25519 key pair; KEY is the file to keep secret
   bundle check FILE                          read a bundle file (TOML) or signed bundle and check it in full
   bundle diff OLD NEW                        what changes from one to the other
-  bundle sign FILE --key=KEY --out=SIGNED    sign a bundle file, or add a signature to a signed bundle
-  bundle publish SIGNED --platform=IP:PORT --trusted_keys=KEY,...
-                                             append it to the log and wait for the verdict; "accepted" is
-                                             said only once it is in force. After an unknown outcome run
-                                             the same command again: it counts once
+  bundle sign FILE --keys=KEY,... --out=SIGNED
+                                             sign a bundle file, or add signatures to a signed bundle
+  bundle publish FILE --platform=IP:PORT [--keys=KEY,...] [--trusted_keys=HEX,...]
+                                             sign it with these keys if any, append it to the log and wait
+                                             for the verdict; "accepted" is said only once it is in force.
+                                             After an unknown outcome run the same command again: it
+                                             counts once. --trusted_keys are the public keys in the nodes'
+                                             settings, if the bundle names other operators
   bundle status --entries=IP:PORT,...        which version each entry node has in force
-  bundle restore SIGNED --platform=IP:PORT --trusted_keys=KEY,...
+  bundle restore SIGNED --platform=IP:PORT [--trusted_keys=HEX,...]
                                              only when the log has lost the version in force and no node
                                              knows it any more
 
@@ -116,49 +123,88 @@
 
 } // namespace
 
-static eb::command_result publish(const std::string& file)
+static std::vector<std::string> key_files()
+{
+    return absl::StrSplit(absl::GetFlag(FLAGS_keys), ',', absl::SkipEmpty());
+}
+
+/// Who signs the first bundle: as the flags say, else the operators that `sealed` names.
+static eb::result<eb::operator_set> trusted_operators(const eb::signed_bundle& sealed)
+{
+    const auto required = absl::GetFlag(FLAGS_trusted_signatures);
+    if (const auto keys = absl::GetFlag(FLAGS_trusted_keys); !keys.empty()) {
+        return eb::parse_trusted_keys(keys, required);
+    }
+    const auto header = eb::decode_bundle_header(sealed.header.text);
+    if (!header) {
+        return header.error();
+    }
+    return eb::operator_set{header.value().operators, required};
+}
+
+namespace {
+
+/// What publishing and restoring start from.
+struct publication_input {
+    eb::network_address platform;
+    eb::signed_bundle sealed;
+    eb::operator_set trusted;
+};
+
+} // namespace
+
+static eb::result<publication_input> read_publication(const std::string& file)
 {
     const auto platform = eb::parse_address(absl::GetFlag(FLAGS_platform));
-    const auto trusted = eb::parse_trusted_keys(absl::GetFlag(FLAGS_trusted_keys),
-                                                absl::GetFlag(FLAGS_trusted_signatures));
-    if (!platform || !trusted) {
-        return platform ? usage("--trusted_keys", trusted.error())
-                        : usage("--platform", platform.error());
+    if (!platform) {
+        return platform.error();
     }
-    const auto sealed = eb::load_signed_bundle(file);
+    const auto sealed = eb::load_and_sign(file, key_files());
     if (!sealed) {
-        return eb::failed_command(sealed.error());
+        return sealed.error();
+    }
+    const auto trusted = trusted_operators(sealed.value());
+    if (!trusted) {
+        return trusted.error();
+    }
+    return publication_input{platform.value(), sealed.value(), trusted.value()};
+}
+
+static eb::command_result publish(const std::string& file)
+{
+    const auto input = read_publication(file);
+    if (!input) {
+        return eb::failed_command(input.error());
     }
     connection_set network;
-    eb::http_log_client log{network.client, platform.value(), timeout()};
+    eb::http_log_client log{network.client, input.value().platform, timeout()};
     eb::publisher_options options;
     options.patience = std::chrono::milliseconds{absl::GetFlag(FLAGS_patience_ms)};
-    eb::publisher publisher{options, trusted.value(), network.timers, log};
-    return network.run([&](const eb::command_handler& done) {
-        publisher.publish(sealed.value(), [done](const eb::publication_result& outcome) {
+    eb::publisher publisher{options, input.value().trusted, network.timers, log};
+    auto described = network.run([&](const eb::command_handler& done) {
+        publisher.publish(input.value().sealed, [done](const eb::publication_result& outcome) {
             done(eb::describe_publication(outcome));
         });
     });
+    const bool nothing_in_force = described.data.value("in_force", std::uint64_t{1}) == 0;
+    if (described.status == eb::exit_status::negative && nothing_in_force) {
+        described.warning = "if other operators signed the first bundle, name their public keys by "
+                            "--trusted_keys\n";
+    }
+    return described;
 }
 
 static eb::command_result restore(const std::string& file)
 {
-    const auto platform = eb::parse_address(absl::GetFlag(FLAGS_platform));
-    const auto trusted = eb::parse_trusted_keys(absl::GetFlag(FLAGS_trusted_keys),
-                                                absl::GetFlag(FLAGS_trusted_signatures));
-    if (!platform || !trusted) {
-        return platform ? usage("--trusted_keys", trusted.error())
-                        : usage("--platform", platform.error());
-    }
-    const auto sealed = eb::load_signed_bundle(file);
-    if (!sealed) {
-        return eb::failed_command(sealed.error());
+    const auto input = read_publication(file);
+    if (!input) {
+        return eb::failed_command(input.error());
     }
     connection_set network;
-    eb::http_log_client log{network.client, platform.value(), timeout()};
-    eb::bundle_restorer restorer{trusted.value(), network.timers, log};
+    eb::http_log_client log{network.client, input.value().platform, timeout()};
+    eb::bundle_restorer restorer{input.value().trusted, network.timers, log};
     return network.run(
-        [&](const eb::command_handler& done) { restorer.restore(sealed.value(), done); });
+        [&](const eb::command_handler& done) { restorer.restore(input.value().sealed, done); });
 }
 
 static eb::command_result status()
@@ -214,18 +260,18 @@
 
 static eb::command_result sign(const std::string& file)
 {
-    const auto key = absl::GetFlag(FLAGS_key);
     const auto out = absl::GetFlag(FLAGS_out);
-    if (key.empty() || out.empty()) {
-        return usage("bundle sign needs --key and --out");
+    if (key_files().empty() || out.empty()) {
+        return usage("bundle sign needs --keys and --out");
     }
-    return eb::sign_bundle(file, key, out);
+    return eb::sign_bundle(file, key_files(), out);
 }
 
 static eb::command_result generate()
 {
     const auto out = absl::GetFlag(FLAGS_out);
-    return out.empty() ? usage("keys generate needs --out") : eb::generate_key(out);
+    return out.empty() ? usage("keys generate needs --out")
+                       : eb::generate_key(absl::GetFlag(FLAGS_name), out);
 }
 
 namespace {
--- a/unittests/bundle/bundle_follower_test.cpp
+++ b/unittests/bundle/bundle_follower_test.cpp
@@ -227,6 +227,72 @@
     BOOST_TEST(world.all_have(1));
 }
 
+BOOST_AUTO_TEST_CASE(in_an_outage_a_node_that_was_told_of_more_refuses_until_it_has_it)
+{
+    follower_world world{3};
+    world.publish(1, 0);
+    world.run(seconds{20});
+    world.publish(2, 1);
+    const auto has_read = [](const auto& node) { return node->version() == 2; };
+    while (std::none_of(world.nodes.begin(), world.nodes.end(), has_read)) {
+        world.run(milliseconds{1});
+    }
+    // Only one node has read it when the outage begins, and only its hint gets out.
+    world.shared.log.outage = true;
+    const auto first = std::find_if(world.nodes.begin(), world.nodes.end(), has_read);
+    auto& told = *world.nodes[first == world.nodes.begin() ? 1 : 0];
+    const auto ahead = (*first)->base.members.self().calls;
+    world.shared.network.unreachable.insert(ahead);
+    world.run(seconds{20});
+    BOOST_TEST(told.version() == 1U);
+    BOOST_TEST(!told.follower.fresh());
+    world.shared.network.unreachable.clear();
+    world.shared.log.outage = false;
+    world.run(seconds{20});
+    BOOST_TEST(world.all_have(2));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_expired_unread_in_an_outage_is_not_guessed)
+{
+    follower_world world{3};
+    world.publish(1, 0);
+    world.run(seconds{20});
+    world.shared.log.outage = true;
+    world.publish(2, 1); // taken in the last moment; the outage outlasts the retention
+    world.run(minutes{1});
+    world.shared.log.truncate(stream_name{bundle_stream}, log_offset{2});
+    world.shared.log.outage = false;
+    world.run(minutes{1});
+    for (const auto& node : world.nodes) {
+        BOOST_TEST(node->version() == 1U);
+        BOOST_TEST(!node->follower.fresh());
+    }
+    // An operator says what was in force, as eelgrassbendctl bundle restore does.
+    bundle_checkpoint told;
+    told.next_offset = log_offset{2};
+    told.in_force = test_signed(test_bundle(2, 1, world.signers), {1});
+    told.accepted = bundle_record_id(*told.in_force);
+    world.append({record_id{"restore"}, encode_record(told)});
+    world.run(seconds{20});
+    BOOST_TEST(world.all_have(2));
+}
+
+BOOST_AUTO_TEST_CASE(a_hint_in_an_outage_is_followed_by_a_pull)
+{
+    follower_world world{2};
+    world.publish(1, 0);
+    world.run(seconds{20});
+    auto& node = *world.nodes[0];
+    node.base.client.faults.cut_off = true;
+    world.run(seconds{30});
+    world.publish(2, 1);
+    while (world.nodes[1]->version() != 2 && node.version() != 2) {
+        world.run(milliseconds{1});
+    }
+    world.run(milliseconds{210}); // the hint takes 200 ms
+    BOOST_TEST(node.version() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(few_nodes_renew_the_checkpoint_also_on_a_slow_log)
 {
     follower_world world;
