--- a/lib/entry/decision_services.cpp
+++ b/lib/entry/decision_services.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassbend/bundle/bundle_follower.h"
 #include "eelgrassbend/claims/log_claim_service.h"
+#include "eelgrassbend/discovery/discovery.h"
 #include "eelgrassbend/dissemination/epidemic_dissemination.h"
 #include "eelgrassbend/endpoints/endpoint_watcher.h"
 #include "eelgrassbend/endpoints/platform_endpoint_directory.h"
@@ -9,6 +10,8 @@
 #include "eelgrassbend/entry/serving_service.h"
 #include "eelgrassbend/kernel/hosted.h"
 #include "eelgrassbend/ledger/replicated_ledger.h"
+#include "eelgrassbend/limits/rpc_limit_peers.h"
+#include "eelgrassbend/limits/shared_limiter.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/membership/swim_membership.h"
 #include "eelgrassbend/metrics/prometheus_metrics.h"
@@ -16,8 +19,6 @@
 #include "eelgrassbend/routing/service_router.h"
 #include "eelgrassbend/serving/stream_store.h"
 
-#include "interim_services.h"
-
 #include <utility>
 
 namespace eelgrassbend {
@@ -179,12 +180,22 @@
                          needs.get<endpoint_probe>("endpoint_probe"), needs.get<router>("router"),
                          [&endpoints] { return endpoints.all(); }, settings.endpoint_poll_interval);
                  });
-    services.add("limits", {},
-                 [](const resolved_services&) { return std::make_shared<hosted<open_limiter>>(); });
     services.add("entries", {"membership"}, [settings](const resolved_services& needs) {
-        return std::make_shared<hosted<all_entries>>(needs.get<membership>("membership"),
-                                                     settings.entries_time_to_live);
+        return std::make_shared<hosted<discovery>>(needs.get<membership>("membership"),
+                                                   settings.entries_time_to_live);
     });
+    services.add(
+        "limit_peers", {"peer_rpc", "membership", "entries"}, [](const resolved_services& needs) {
+            return std::make_shared<hosted<rpc_limit_peers>>(needs.get<peer_rpc>("peer_rpc"),
+                                                             needs.get<membership>("membership"),
+                                                             needs.get<discovery>("entries"));
+        });
+    services.add(
+        "limits", {"scheduler", "bundles", "limit_peers"}, [](const resolved_services& needs) {
+            return std::make_shared<hosted<shared_limiter>>(needs.get<scheduler>("scheduler"),
+                                                            needs.get<bundle_view>("bundles"),
+                                                            needs.get<limit_peers>("limit_peers"));
+        });
 }
 
 static void add_serving(registrar& services, const entry_settings& settings)
