--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -18,6 +18,7 @@
 std::unique_ptr<experiment> make_ledger_experiment();
 std::unique_ptr<experiment> make_membership_experiment();
 std::unique_ptr<experiment> make_dissemination_experiment();
+std::unique_ptr<experiment> make_bundle_experiment();
 std::unique_ptr<experiment> make_decision_experiment();
 
 } // namespace eelgrassbend::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -23,6 +23,7 @@
     known.push_back(make_ledger_experiment());
     known.push_back(make_membership_experiment());
     known.push_back(make_dissemination_experiment());
+    known.push_back(make_bundle_experiment());
     known.push_back(make_decision_experiment());
     return known;
 }
