Mutate the bundle messages of peers in a test

Cause: pulls and hints are foreign bytes; only the records in them had a mutation test. Tests: seen red with a decoder that throws on an odd value. Conclusion: each decoder of the bundle component has a seeded mutation test.

--- a/unittests/bundle/record_fuzz_test.cpp
+++ b/unittests/bundle/record_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include "bundle_builder.h"
+#include "bundle_pull.h"
 
 #include "eelgrassbend/bundle/bundle_fold.h"
 #include "eelgrassbend/support/random_source.h"
@@ -65,4 +66,33 @@
     BOOST_TEST(decoded > rounds / 100);
 }
 
+BOOST_AUTO_TEST_CASE(mutated_messages_of_peers_are_refused_without_harm)
+{
+    constexpr std::uint64_t rounds = 20'000;
+    const log_record record{log_offset{7}, record_id{"id"}, wall_time{}, std::string(100, 'x')};
+    const pulled_records pulled{log_offset{8}, duration{5}, "checkpoint", {record, record}};
+    const auto answer = encode_pulled(pulled);
+    const auto hint = encode_hint({log_offset{8}, record});
+    BOOST_TEST(decode_pulled(answer).value().records[1].payload == record.payload);
+    BOOST_TEST(decode_hint(hint).value().record->id.value() == "id");
+    seeded_random random{12};
+    std::size_t refused = 0;
+    std::size_t read = 0;
+    for (std::uint64_t round = 0; round < rounds; ++round) {
+        // Whole words stay whole words often enough to get past the check of the size.
+        auto bytes = round % 2 == 0 ? answer : hint;
+        for (std::uint64_t edit = random_below(random, 4); edit > 0; --edit) {
+            bytes[random_below(random, bytes.size())] =
+                static_cast<char>(random_below(random, 256));
+        }
+        if (round % 5 == 0) {
+            bytes = mutate(bytes, random);
+        }
+        const bool decoded = round % 2 == 0 ? !!decode_pulled(bytes) : !!decode_hint(bytes);
+        ++(decoded ? read : refused);
+    }
+    BOOST_TEST(refused > rounds / 20);
+    BOOST_TEST(read > rounds / 20);
+}
+
 } // namespace eelgrassbend
