Ask only model engines for cache events

Change: the watcher knows which endpoints have a prefix cache; sockets of peers have keep-alive, so that those that vanish are closed in the end.

--- a/include/eelgrassbend/endpoints/endpoint_watcher.h
+++ b/include/eelgrassbend/endpoints/endpoint_watcher.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,27 +32,35 @@
                         std::function<void(result<cache_events>)> handler) = 0;
 };
 
+struct watched_endpoint {
+    endpoint_info info;
+    bool caches_prefixes = false; ///< model engines do, plain services have no such events
+};
+
 /// Polls the endpoints that this node watches and tells the router what they report.
 class endpoint_watcher {
 public:
     /// `watched` lists the endpoints to poll; it is asked in every round.
     endpoint_watcher(scheduler& time, endpoint_probe& probe, router& routes,
-                     std::function<std::vector<endpoint_info>()> watched, duration interval);
+                     std::function<std::vector<watched_endpoint>()> watched, duration interval);
 
     void start();
     void stop();
 
 private:
     void poll_round();
-    void poll(const endpoint_info& endpoint);
+    void poll(const watched_endpoint& endpoint);
+    void poll_load(const endpoint_info& endpoint);
+    void poll_events(const endpoint_info& endpoint);
+    bool begin(const std::string& call);
 
     scheduler& time;
     endpoint_probe& probe;
     router& routes;
-    std::function<std::vector<endpoint_info>()> watched;
+    std::function<std::vector<watched_endpoint>()> watched;
     duration interval;
     std::map<std::string, std::uint64_t> next_event;
-    std::map<std::string, int> outstanding;
+    std::set<std::string> outstanding; ///< calls that have not been answered
     bool running = false;
 };
 
--- a/lib/endpoints/endpoint_watcher.cpp
+++ b/lib/endpoints/endpoint_watcher.cpp
@@ -2,13 +2,12 @@
 
 #include "eelgrassbend/routing/router.h"
 
-#include <set>
 #include <utility>
 
 namespace eelgrassbend {
 
 endpoint_watcher::endpoint_watcher(scheduler& time, endpoint_probe& probe, router& routes,
-                                   std::function<std::vector<endpoint_info>()> watched,
+                                   std::function<std::vector<watched_endpoint>()> watched,
                                    duration interval)
     : time(time), probe(probe), routes(routes), watched(std::move(watched)), interval(interval)
 {
@@ -32,7 +31,7 @@
     }
     std::set<std::string> names;
     for (const auto& endpoint : this->watched()) {
-        names.insert(endpoint.id.value());
+        names.insert(endpoint.info.id.value());
         this->poll(endpoint);
     }
     std::erase_if(this->next_event,
@@ -40,34 +39,51 @@
     this->time.call_after(this->interval, [this] { this->poll_round(); });
 }
 
-void endpoint_watcher::poll(const endpoint_info& endpoint)
+void endpoint_watcher::poll(const watched_endpoint& endpoint)
 {
-    const auto name = endpoint.id.value();
-    // An endpoint that has not answered yet is not asked again.
-    if (this->outstanding[name] > 0) {
+    this->poll_load(endpoint.info);
+    if (endpoint.caches_prefixes) {
+        this->poll_events(endpoint.info);
+    }
+}
+
+/// An endpoint that has not answered a call yet is not asked the same again.
+bool endpoint_watcher::begin(const std::string& call)
+{
+    return this->outstanding.insert(call).second;
+}
+
+void endpoint_watcher::poll_load(const endpoint_info& endpoint)
+{
+    const auto id = endpoint.id;
+    const auto call = id.value() + "/load";
+    if (!this->begin(call)) {
         return;
     }
-    this->outstanding[name] = 2;
-    const auto answered = [this, name] {
-        if (--this->outstanding[name] == 0) {
-            this->outstanding.erase(name);
-        }
-    };
-    this->probe.load(endpoint.address, [this, name, answered](result<load_report> report) {
-        answered();
+    this->probe.load(endpoint.address, [this, id, call](const result<load_report>& report) {
+        this->outstanding.erase(call);
         if (report) {
-            this->routes.report_load(endpoint_id{name}, report.value());
+            this->routes.report_load(id, report.value());
         }
     });
-    this->probe.events(endpoint.address, this->next_event[name],
-                       [this, name, answered](result<cache_events> fetched) {
-                           answered();
+}
+
+void endpoint_watcher::poll_events(const endpoint_info& endpoint)
+{
+    const auto id = endpoint.id;
+    const auto call = id.value() + "/events";
+    if (!this->begin(call)) {
+        return;
+    }
+    this->probe.events(endpoint.address, this->next_event[id.value()],
+                       [this, id, call](const result<cache_events>& fetched) {
+                           this->outstanding.erase(call);
                            if (!fetched) {
                                return;
                            }
-                           this->next_event[name] = fetched.value().next;
+                           this->next_event[id.value()] = fetched.value().next;
                            for (const auto& event : fetched.value().events) {
-                               this->routes.report_cache(endpoint_id{name}, event);
+                               this->routes.report_cache(id, event);
                            }
                        });
 }
--- a/lib/entry/decision_services.cpp
+++ b/lib/entry/decision_services.cpp
@@ -151,6 +151,19 @@
     });
 }
 
+static std::vector<watched_endpoint> list_watched(const platform_endpoint_directory& endpoints,
+                                                  const bundle_view& bundles)
+{
+    const auto rules = bundles.current();
+    std::vector<watched_endpoint> watched;
+    for (auto& info : endpoints.all()) {
+        const auto* service = rules->find_service(info.service);
+        const bool caches = service != nullptr && service->kind == service_kind::model;
+        watched.push_back({std::move(info), caches});
+    }
+    return watched;
+}
+
 static void add_routing(registrar& services, const entry_settings& settings)
 {
     services.add(
@@ -172,13 +185,15 @@
                          needs.get<endpoint_directory>("endpoints"),
                          needs.get<bundle_view>("bundles"));
                  });
-    services.add("watcher", {"scheduler", "endpoint_probe", "router", "endpoints"},
+    services.add("watcher", {"scheduler", "endpoint_probe", "router", "endpoints", "bundles"},
                  [settings](const resolved_services& needs) {
                      auto& endpoints = needs.get<platform_endpoint_directory>("endpoints");
+                     auto& bundles = needs.get<bundle_view>("bundles");
                      return std::make_shared<hosted<endpoint_watcher>>(
                          needs.get<scheduler>("scheduler"),
                          needs.get<endpoint_probe>("endpoint_probe"), needs.get<router>("router"),
-                         [&endpoints] { return endpoints.all(); }, settings.endpoint_poll_interval);
+                         [&endpoints, &bundles] { return list_watched(endpoints, bundles); },
+                         settings.endpoint_poll_interval);
                  });
     services.add("entries", {"membership"}, [settings](const resolved_services& needs) {
         return std::make_shared<hosted<discovery>>(needs.get<membership>("membership"),
--- a/lib/peer_rpc/capnp_peer_rpc.cpp
+++ b/lib/peer_rpc/capnp_peer_rpc.cpp
@@ -159,6 +159,9 @@
             return;
         }
         if (!failure) {
+            // A peer that vanished without a word is noticed by the kernel in the end.
+            error_code ignored;
+            socket.set_option(asio::socket_base::keep_alive(true), ignored);
             self->server->accept(kj::heap<asio_stream>(std::move(socket)));
         }
         self->accept_next();
