--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -13,6 +13,7 @@
 
 std::unique_ptr<experiment> make_audit_experiment();
 std::unique_ptr<experiment> make_load_experiment();
+std::unique_ptr<experiment> make_slopes_experiment();
 std::unique_ptr<experiment> make_routing_experiment();
 std::unique_ptr<experiment> make_claims_experiment();
 std::unique_ptr<experiment> make_ledger_experiment();
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -18,6 +18,7 @@
     experiment_list known;
     known.push_back(make_audit_experiment());
     known.push_back(make_load_experiment());
+    known.push_back(make_slopes_experiment());
     known.push_back(make_routing_experiment());
     known.push_back(make_claims_experiment());
     known.push_back(make_ledger_experiment());
