Compare whole sessions on whole entry nodes with golden files

Cause: tests of entry nodes checked single properties; a change of a header, a log field or a record went unseen.

--- /dev/null
+++ b/unittests/entry/golden_session.cpp
@@ -0,0 +1,191 @@
+#include "golden_session.h"
+
+#include "eelgrassbend/support/uuid.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace eelgrassbend {
+
+static constexpr std::size_t all_records = 1'000'000;
+
+static std::string write_headers(const header_list& headers)
+{
+    std::string text;
+    for (const auto& [name, value] : headers) {
+        text += name + ": " + value + "\n";
+    }
+    return text;
+}
+
+/// Each line of `body` behind a mark, so that blank lines and the last line's end show.
+static std::string write_body(const std::string& body)
+{
+    std::string text = "|";
+    for (const char byte : body) {
+        text += byte;
+        if (byte == '\n') {
+            text += '|';
+        }
+    }
+    return text + "\n";
+}
+
+static nlohmann::json bundle_to_json(const log_record& record)
+{
+    const auto decoded = decode_record(record.payload);
+    BOOST_REQUIRE(decoded);
+    const auto* sealed = std::get_if<signed_bundle>(&decoded.value());
+    if (sealed == nullptr) {
+        return nlohmann::json::parse(record.payload);
+    }
+    auto signatures = nlohmann::json::array();
+    for (const auto& signature : sealed->header.signatures) {
+        signatures.push_back(
+            {{"public_key", signature.public_key}, {"signature", signature.signature}});
+    }
+    return {{"id", record.id.value()},
+            {"header", nlohmann::json::parse(sealed->header.text)},
+            {"signatures", signatures},
+            {"body", nlohmann::json::parse(sealed->body)}};
+}
+
+static nlohmann::json ledger_to_json(const log_record& record)
+{
+    const auto decoded = decode_ledger_line(record.payload);
+    BOOST_REQUIRE(decoded);
+    const auto& line = decoded.value();
+    return {{"id", record.id.value()},
+            {"request", line.request.value()},
+            {"attempt", line.attempt.value()},
+            {"organisation", line.organisation.value()},
+            {"service", line.service.value()},
+            {"endpoint", line.endpoint.value()},
+            {"version", line.version.value()},
+            {"prompt_tokens", line.prompt_tokens.value()},
+            {"output_tokens", line.output_tokens.value()},
+            {"price", line.price.value()},
+            {"answer_digest", line.answer_digest},
+            {"accepted_at", line.accepted_at.time_since_epoch().count()}};
+}
+
+golden_session::golden_session(const bundle& rules)
+{
+    using standin::endpoint_mode;
+    for (const char* zone : {"arusha-a", "moshi-a"}) {
+        const std::string place{zone};
+        this->fleet.add_endpoint("draft-" + place, "draft-llm", place, endpoint_mode::model);
+        this->fleet.add_endpoint("desk-" + place, "order-desk", place, endpoint_mode::plain);
+        this->fleet.add_node(place);
+    }
+    this->fleet.add_node("arusha-a");
+    this->fleet.publish(rules);
+    this->fleet.time.run_for(std::chrono::seconds{20});
+}
+
+std::shared_ptr<fakes::virtual_exchange> golden_session::send(std::size_t at, http_request request,
+                                                              const std::string& key)
+{
+    this->exchanges.push_back({at, request, nullptr});
+    request.headers.emplace_back("Authorization", "Bearer " + key);
+    auto answer = this->fleet.send(this->node(at), std::move(request));
+    this->exchanges.back().answer = answer;
+    return answer;
+}
+
+std::shared_ptr<fakes::virtual_exchange> golden_session::chat(std::size_t at, bool stream,
+                                                              int tokens,
+                                                              const header_list& headers,
+                                                              const std::string& key)
+{
+    const nlohmann::json body{{"model", "draft-llm"},
+                              {"stream", stream},
+                              {"max_tokens", tokens},
+                              {"messages", {{{"role", "user"}, {"content", "badge"}}}}};
+    return this->send(at, {"POST", "/v1/chat/completions", headers, body.dump()}, key);
+}
+
+std::shared_ptr<fakes::virtual_exchange> golden_session::order(std::size_t at,
+                                                               const std::string& key)
+{
+    return this->send(
+        at, {"POST", "/services/order-desk/orders?ms=20", {{"Idempotency-Key", key}}, "{}"});
+}
+
+std::string golden_session::new_key()
+{
+    return make_uuid_v7(this->fleet.time.wall_now(), this->fleet.random);
+}
+
+std::string golden_session::text()
+{
+    std::ostringstream out;
+    for (const auto& [node, request, answer] : this->exchanges) {
+        out << "== request at entry-" << node + 1 << '\n'
+            << request.method << ' ' << request.target << '\n'
+            << write_headers(request.headers) << write_body(request.body) << "-- answer "
+            << answer->status << (answer->ended ? " whole" : " cut") << '\n'
+            << write_headers(answer->headers) << write_body(answer->body);
+    }
+    out << "== log lines\n";
+    for (const auto& line : this->fleet.lines) {
+        out << line << (line.ends_with('\n') ? "" : "\n");
+    }
+    auto& log = this->fleet.platform.log;
+    out << "== bundle records\n";
+    for (const auto& record :
+         log.read(stream_name{"bundles"}, log_offset{0}, all_records).records) {
+        out << bundle_to_json(record).dump() << '\n';
+    }
+    out << "== ledger records\n";
+    for (const auto& record :
+         log.read(stream_name{std::string{ledger_stream}}, log_offset{0}, all_records).records) {
+        out << ledger_to_json(record).dump() << '\n';
+    }
+    out << "== executions\n";
+    for (const auto& run : this->fleet.executions()) {
+        out << run.dump() << '\n';
+    }
+    return out.str();
+}
+
+void golden_session::check(const std::string& name)
+{
+    const auto path = std::string{EELGRASSBEND_SOURCE_DIR} + "/test/golden/" + name + ".txt";
+    const auto found = this->text();
+    if (const char* update = std::getenv("EELGRASSBEND_UPDATE_GOLDEN");
+        update != nullptr && std::string{update} == "1") {
+        std::ofstream file{path, std::ios::binary};
+        file << found;
+        file.close();
+        BOOST_REQUIRE_MESSAGE(file, "cannot write " << path);
+        return;
+    }
+    std::ifstream file{path, std::ios::binary};
+    BOOST_REQUIRE_MESSAGE(file, "cannot read " << path);
+    const std::string wanted{std::istreambuf_iterator<char>{file}, {}};
+    if (found == wanted) {
+        return;
+    }
+    std::istringstream wanted_lines{wanted};
+    std::istringstream found_lines{found};
+    std::string wanted_line;
+    std::string found_line;
+    std::size_t number = 0;
+    bool more = true;
+    while (more && wanted_line == found_line) {
+        ++number;
+        const bool one = static_cast<bool>(std::getline(wanted_lines, wanted_line));
+        const bool other = static_cast<bool>(std::getline(found_lines, found_line));
+        wanted_line = one ? wanted_line : "(end of file)";
+        found_line = other ? found_line : "(end of file)";
+        more = one || other;
+    }
+    BOOST_ERROR(path << ":" << number << " differs\n  golden: " << wanted_line
+                     << "\n  found:  " << found_line);
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/unittests/entry/golden_session.h
@@ -0,0 +1,48 @@
+#ifndef EELGRASSBEND_UNITTESTS_ENTRY_GOLDEN_SESSION_H
+#define EELGRASSBEND_UNITTESTS_ENTRY_GOLDEN_SESSION_H
+
+#include "fakes/virtual_fleet.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// Callers' requests to a fleet under virtual time, and the record of all that came of them.
+class golden_session {
+public:
+    /// Three entry nodes and four endpoints over two availability zones; `rules` is in force.
+    explicit golden_session(const bundle& rules);
+
+    fakes::virtual_node& node(std::size_t index) { return *this->fleet.nodes[index]; }
+
+    /// Sends `request` with the bearer key `key`, which the record leaves out.
+    std::shared_ptr<fakes::virtual_exchange> send(std::size_t at, http_request request,
+                                                  const std::string& key = "key-1");
+    std::shared_ptr<fakes::virtual_exchange> chat(std::size_t at, bool stream, int tokens,
+                                                  const header_list& headers = {},
+                                                  const std::string& key = "key-1");
+    std::shared_ptr<fakes::virtual_exchange> order(std::size_t at, const std::string& key);
+    std::string new_key();
+
+    /// The record as text, in lines.
+    std::string text();
+    /// Compares the record with the golden file `name`, or rewrites that file if asked to.
+    void check(const std::string& name);
+
+    fakes::virtual_fleet fleet{1};
+
+private:
+    struct exchange_record {
+        std::size_t node = 0;
+        http_request request;
+        std::shared_ptr<fakes::virtual_exchange> answer;
+    };
+
+    std::vector<exchange_record> exchanges;
+};
+
+} // namespace eelgrassbend
+
+#endif
