Refuse new work while the ledger has no room

Cause: the ledger keeps lines in bounded memory, and the front took new work also when no further line would be kept, so that answers went out unbilled. Change: while ledger::accepts_work() is false, new model and plain requests get 503 with Retry-After and outcome not-run, before the limits count them; running requests and resumed streams go on. Test: new_work_is_refused_as_not_run_while_the_ledger_is_full failed first with 9 checks (check disabled), passes with the change; 41 serving tests pass.

--- a/include/eelgrassbend/serving/front.h
+++ b/include/eelgrassbend/serving/front.h
@@ -62,6 +62,8 @@
                                service_kind kind) const;
     /// Whether the limits admit the request; refuses it otherwise.
     bool admit(const admitted_request& admitted, money expected_cost);
+    /// Refuses a new request whose line would find no room in the ledger; true if it did.
+    bool refuse_unbillable(const admitted_request& admitted);
     void run(std::shared_ptr<request_flow> flow, const request_id& id);
     request_flow::ended_handler when_ended();
 
--- a/lib/serving/front.cpp
+++ b/lib/serving/front.cpp
@@ -1,6 +1,7 @@
 #include "eelgrassbend/serving/front.h"
 
 #include "eelgrassbend/discovery/discovery.h"
+#include "eelgrassbend/ledger/ledger.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/metrics/metrics.h"
 #include "eelgrassbend/routing/limiter.h"
@@ -185,6 +186,27 @@
     return false;
 }
 
+// Lines wait for the log in bounded memory; work whose line finds no room would go unbilled.
+bool front::refuse_unbillable(const admitted_request& admitted)
+{
+    if (this->services.bills.accepts_work()) {
+        return false;
+    }
+    const refusal refused =
+        not_run(make_error(errc::unavailable, "accept request",
+                           this->services.settings.node.value(), "the ledger is full"),
+                this->services.settings.refusal_retry_after);
+    this->services.counters.count("eelgrassbend_ledger_refusals_total",
+                                  {{"organisation", admitted.organisation->id.value()}}, 1);
+    this->services.log.write(log_level::warning, "refuse",
+                             {{"request", admitted.id.value()},
+                              {"status", refused.status},
+                              {"outcome", to_string(refused.outcome)},
+                              {"error", refused.reason.to_string()}});
+    refuse(*admitted.answer, refused);
+    return true;
+}
+
 request_flow::ended_handler front::when_ended()
 {
     return [this](const request_id& id) { this->flows.erase(id.value()); };
@@ -230,7 +252,7 @@
     auto estimate = estimate_size(parsed.value(), wanted.http.header("Eelgrassbend-Class"));
     const auto expected =
         price_of(wanted.service->prices, estimate.prompt_tokens, estimate.expected_output);
-    if (!this->admit(wanted, expected)) {
+    if (this->refuse_unbillable(wanted) || !this->admit(wanted, expected)) {
         return;
     }
     const auto id = wanted.id;
@@ -355,7 +377,8 @@
                                            "the Idempotency-Key header must be a UUIDv7")));
         return;
     }
-    if (!this->admit(wanted, wanted.service->prices.per_request)) {
+    if (this->refuse_unbillable(wanted) ||
+        !this->admit(wanted, wanted.service->prices.per_request)) {
         return;
     }
     const auto id = wanted.id;
--- a/unittests/serving/front_test.cpp
+++ b/unittests/serving/front_test.cpp
@@ -62,6 +62,26 @@
     BOOST_TEST(this->client.attempts.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(new_work_is_refused_as_not_run_while_the_ledger_is_full, plain_fixture)
+{
+    const auto running = this->order();
+    this->bills.has_room = false;
+    const auto completion = this->send("POST", "/v1/chat/completions", chat);
+    for (const auto& answer : {completion, this->order()}) {
+        BOOST_TEST(answer->status == 503);
+        BOOST_TEST(answer->header("Retry-After") == "1");
+        BOOST_TEST(answer->header("Eelgrassbend-Outcome") == "not-run");
+    }
+    BOOST_TEST(this->client.attempts.size() == 1);
+    BOOST_TEST(this->limits.open.size() == 1);
+    this->answer_order(201, "{}");
+    BOOST_TEST(running->status == 201);
+    BOOST_TEST(this->bills.confirmed.size() == 1);
+    this->bills.has_room = true;
+    this->send("POST", "/v1/chat/completions", chat);
+    BOOST_TEST(this->client.attempts.size() == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_node_with_an_old_view_refuses_as_not_run, serving_fixture)
 {
     this->bundles.is_fresh = false;
--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -248,6 +248,8 @@
 
 class fake_ledger : public ledger {
 public:
+    [[nodiscard]] bool accepts_work() const override { return this->has_room; }
+
     void intend(const ledger_line& line, done_handler handler) override
     {
         this->intended.push_back(line);
@@ -262,6 +264,7 @@
 
     [[nodiscard]] std::size_t waiting() const override { return 0; }
 
+    bool has_room = true;
     std::vector<ledger_line> intended;
     std::vector<request_id> confirmed;
     std::vector<request_id> cancelled;
