Hedge model requests that wait too long for a first token

Cause: budgeted_hedges decided on second attempts, but no request asked it. The first to emit goes on, the other is cancelled and never billed; a hedge takes over when the first attempt fails. Log events hedge and hedge_dropped. serving_services gets the member hedges. Tests: 7 new; seen to fail first with the loser not dropped, the hedge not adopted, foreign events accepted, failures of the hedge passed on, the budget ignored and plain requests hedgeable. 48 serving tests pass. Conclusion: the retry budget is not applied to repeated attempts; that is left out.

--- a/include/eelgrassbend/entry/serving_service.h
+++ b/include/eelgrassbend/entry/serving_service.h
@@ -2,6 +2,7 @@
 #define EELGRASSBEND_ENTRY_SERVING_SERVICE_H
 
 #include "eelgrassbend/kernel/kernel.h"
+#include "eelgrassbend/routing/hedge_policy.h"
 #include "eelgrassbend/serving/front.h"
 #include "eelgrassbend/serving/services.h"
 #include "eelgrassbend/settings/entry_settings.h"
@@ -17,6 +18,7 @@
 
 private:
     serving_settings settings;
+    budgeted_hedges hedges;
     serving_services parts;
     front entrance;
 };
--- a/include/eelgrassbend/serving/model_flow.h
+++ b/include/eelgrassbend/serving/model_flow.h
@@ -37,6 +37,8 @@
     stream_state suspend();
     void head(int status, const header_list& headers) override;
     void body(std::string_view bytes) override;
+    [[nodiscard]] result<bool> has_event(const attempt_id& attempt,
+                                         std::string_view bytes) const override;
 
 protected:
     endpoint_request next_attempt() override;
@@ -45,6 +47,11 @@
 
     [[nodiscard]] bool repeatable() const override { return true; }
 
+    [[nodiscard]] bool hedgeable() const override { return this->emitted.tokens == 0; }
+
+    endpoint_request hedge_attempt() override;
+    void attempt_replaced() override;
+
     void undelivered() override;
 
     void give_up(const refusal& refused) override;
--- a/include/eelgrassbend/serving/request_flow.h
+++ b/include/eelgrassbend/serving/request_flow.h
@@ -27,6 +27,8 @@
     std::shared_ptr<exchange> answer;
 };
 
+class rival_attempt;
+
 /// Carries one admitted request from its first attempt to its last byte. Owned by its callbacks
 /// and by the front until it ends.
 class request_flow : public std::enable_shared_from_this<request_flow>, public attempt_observer {
@@ -45,7 +47,29 @@
     void completed() override;
     void failed(const error& reason, dispatch_state dispatched) override;
 
+    /// Whether the bytes hold the first event of the attempt's answer; an error if they cannot be
+    /// the beginning of its answer.
+    [[nodiscard]] virtual result<bool> has_event(const attempt_id& /*attempt*/,
+                                                 std::string_view /*bytes*/) const
+    {
+        return false;
+    }
+
+    /// The hedge emitted the first token: the request goes on with it.
+    void rival_won();
+    /// Ends the hedge; nothing that it says later is heard.
+    void drop_rival(attempt_end how);
+
 protected:
+    /// Whether a second attempt may run beside the first.
+    [[nodiscard]] virtual bool hedgeable() const { return false; }
+
+    /// What a hedge sends; leaves the current attempt as it is.
+    virtual endpoint_request hedge_attempt() { return {}; }
+
+    /// The request goes on with another attempt that is under way.
+    virtual void attempt_replaced() {}
+
     /// What the next attempt sends.
     virtual endpoint_request next_attempt() = 0;
     virtual route_request describe() const = 0;
@@ -114,18 +138,28 @@
     void schedule_move(const endpoint_info& leaving);
     void move_elsewhere();
     void deadline_passed();
+    void plan_hedge(const route_request& wanted, const route_decision& decision);
+    void arm_hedge_timer();
+    void check_hedge();
+    bool start_hedge(const char* reason);
+    void adopt_rival();
     [[nodiscard]] request_outcome outcome_so_far() const;
 
     ended_handler on_ended;
+    std::shared_ptr<rival_attempt> rival;   ///< the hedge, while no token has arrived
+    std::shared_ptr<rival_attempt> adopted; ///< the hedge that won; outlives `handle`
     std::unique_ptr<attempt_handle> handle;
     std::vector<endpoint_id> excluded;
     std::optional<timer_id> deadline_timer;
     std::optional<timer_id> retry_timer;
     std::optional<timer_id> move_timer;
+    std::optional<timer_id> hedge_timer;
+    monotonic_time hedge_due;
     duration next_pause;
     int attempts = 0;
     money billed;
     bool first_progress = true;
+    bool hedged = false;
     bool dispatched_once = false;
     bool may_have_begun = false; ///< by attempts that have ended
     bool open = true;
--- a/include/eelgrassbend/serving/services.h
+++ b/include/eelgrassbend/serving/services.h
@@ -12,6 +12,7 @@
 class endpoint_directory;
 class entry_directory;
 class event_log;
+class hedge_policy;
 class ledger;
 class limiter;
 class membership;
@@ -46,6 +47,7 @@
     claim_service& claims;
     ledger& bills;
     stream_store& streams;
+    hedge_policy& hedges;
 };
 
 } // namespace eelgrassbend
--- a/lib/entry/serving_service.cpp
+++ b/lib/entry/serving_service.cpp
@@ -26,6 +26,7 @@
 
 serving_service::serving_service(const entry_settings& settings, const resolved_services& needs)
     : settings(make_settings(settings)),
+      hedges(needs.get<bundle_view>("bundles")),
       parts{this->settings,
             needs.get<scheduler>("scheduler"),
             needs.get<random_source>("random"),
@@ -38,7 +39,8 @@
             needs.get<endpoint_client>("endpoint_client"),
             needs.get<claim_service>("claims"),
             needs.get<ledger>("ledger"),
-            needs.get<stream_store>("streams")},
+            needs.get<stream_store>("streams"),
+            this->hedges},
       entrance(this->parts, needs.get<entry_directory>("entries"), needs.get<node_status>("status"))
 {
     needs.get<endpoint_directory>("endpoints").on_change([this](const endpoint_info& changed) {
--- a/lib/serving/model_flow.cpp
+++ b/lib/serving/model_flow.cpp
@@ -163,12 +163,22 @@
     return std::to_string(rank * class_weight + wanted.priority);
 }
 
-endpoint_request model_flow::next_attempt()
+void model_flow::attempt_replaced()
 {
     this->events = sse_parser{};
     this->finish_reason.clear();
     this->end_seen = false;
     this->status = 0;
+}
+
+endpoint_request model_flow::next_attempt()
+{
+    this->attempt_replaced();
+    return this->hedge_attempt();
+}
+
+endpoint_request model_flow::hedge_attempt()
+{
     endpoint_request request;
     request.method = "POST";
     request.target =
@@ -216,6 +226,27 @@
     }
 }
 
+result<bool> model_flow::has_event(const attempt_id& attempt, std::string_view bytes) const
+{
+    sse_parser parser;
+    const auto events = parser.feed(bytes);
+    if (!events) {
+        return events.error();
+    }
+    if (events.value().empty()) {
+        return false;
+    }
+    const auto event = parse_completion_event(events.value().front());
+    if (!event) {
+        return event.error();
+    }
+    if (event.value().id != attempt.value()) {
+        return make_error(errc::mismatched, "read engine answer", {},
+                          "event is for another attempt");
+    }
+    return true;
+}
+
 void model_flow::handle_event(const std::string& data)
 {
     if (data == "[DONE]") {
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -2,7 +2,9 @@
 
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/metrics/metrics.h"
+#include "eelgrassbend/routing/hedge_policy.h"
 #include "eelgrassbend/routing/limiter.h"
+#include "eelgrassbend/serving/rival_attempt.h"
 
 #include <nlohmann/json.hpp>
 
@@ -141,6 +143,7 @@
     request.progress_timeout = this->services.settings.progress_timeout;
     this->handle = this->services.client.dispatch(this->target.address, std::move(request), *this);
     this->dispatched_once = true;
+    this->plan_hedge(wanted, decision);
     if (this->target.state == endpoint_state::leaving) {
         this->schedule_move(this->target);
     }
@@ -195,6 +198,10 @@
         return;
     }
     this->excluded.push_back(this->target.id);
+    if (this->rival) {
+        this->adopt_rival();
+        return;
+    }
     this->attempt_now();
 }
 
@@ -234,6 +241,7 @@
                               {"attempt", this->attempt.value()},
                               {"endpoint", this->target.id.value()},
                               {"reason", "endpoint is leaving"}});
+    this->drop_rival(attempt_end::cancelled);
     this->cancel_attempt(attempt_end::cancelled);
     this->excluded.push_back(this->target.id);
     this->attempt_now();
@@ -287,10 +295,16 @@
 void request_flow::note_progress(token_count total)
 {
     this->services.routes.progressed(this->attempt, total);
-    if (std::exchange(this->first_progress, false) && this->attempts == 1) {
+    const bool first = std::exchange(this->first_progress, false);
+    if (first) {
+        this->drop_rival(attempt_end::cancelled);
+    }
+    if (first && this->attempts == (this->hedged ? 2 : 1)) {
+        const auto took = this->services.time.now() - this->accepted_at;
+        this->services.hedges.first_token(this->admitted.service->id, this->describe().size, took);
         this->services.counters.observe("eelgrassbend_first_token_seconds",
                                         {{"service", this->admitted.service->id.value()}},
-                                        seconds(this->services.time.now() - this->accepted_at));
+                                        seconds(took));
     }
 }
 
@@ -323,6 +337,7 @@
 {
     auto self = this->shared_from_this();
     this->delivering = true;
+    this->drop_rival(attempt_end::cancelled);
     this->handle.reset();
     this->may_have_begun = true;
     this->services.routes.ended(this->attempt, attempt_end::completed);
@@ -360,8 +375,9 @@
         return;
     }
     auto self = this->shared_from_this();
+    this->drop_rival(attempt_end::cancelled);
     this->cancel_attempt(attempt_end::cancelled);
-    for (auto* timer : {&this->deadline_timer, &this->retry_timer}) {
+    for (auto* timer : {&this->deadline_timer, &this->retry_timer, &this->hedge_timer}) {
         if (*timer) {
             this->services.time.cancel(**timer);
             timer->reset();
--- /dev/null
+++ b/unittests/serving/hedging_test.cpp
@@ -0,0 +1,105 @@
+#include "engine_script.h"
+#include "serving_fakes.h"
+
+#include "eelgrassbend/support/uuid.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+
+struct hedging_fixture : serving_fixture {
+    std::shared_ptr<fake_exchange> hedge()
+    {
+        this->hedges.budget = 1;
+        auto answer = this->begin();
+        BOOST_REQUIRE(this->client.attempts.size() == 2);
+        return answer;
+    }
+
+    std::shared_ptr<fake_exchange> begin()
+    {
+        auto answer = this->send(
+            "POST", "/v1/chat/completions",
+            R"({"model":"draft","stream":true,"messages":[{"role":"user","content":"x"}]})");
+        this->time.run_for(milliseconds{200});
+        return answer;
+    }
+
+    /// The attempt `number` answers whole; what `late` says reaches nobody.
+    void check_winner(const fake_exchange& answer, std::size_t number, std::size_t late)
+    {
+        auto& winner = *this->client.attempts[number];
+        auto& loser = *this->client.attempts[late];
+        engine_script{winner}.head().token("a");
+        BOOST_TEST(loser.observer == nullptr);
+        BOOST_TEST(this->routes.open.size() == 1);
+        engine_script{loser}.token("late").last(1).complete();
+        engine_script{winner}.token(" b").last(2).complete();
+        const read_stream stream{answer.body};
+        BOOST_TEST(stream.text == "a b");
+        BOOST_TEST(stream.ids_in_order);
+        BOOST_TEST(stream.done);
+        BOOST_REQUIRE(this->bills.intended.size() == 1);
+        BOOST_TEST(this->bills.intended.front().attempt.value() == winner.request.attempt.value());
+        BOOST_TEST(this->bills.confirmed.size() == 1);
+        BOOST_TEST(this->routes.open.empty());
+        BOOST_TEST(this->door.active() == 0);
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(a_hedge_that_emits_first_wins, hedging_fixture)
+{
+    const auto answer = this->hedge();
+    const auto& attempts = this->client.attempts;
+    BOOST_TEST(attempts[0]->request.attempt.value() != attempts[1]->request.attempt.value());
+    BOOST_TEST(attempts[1]->address.port == 9002);
+    BOOST_TEST(this->log.count("hedge") == 1);
+    this->check_winner(*answer, 1, 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_first_attempt_wins_over_a_slower_hedge, hedging_fixture)
+{
+    const auto answer = this->hedge();
+    this->check_winner(*answer, 0, 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_hedge_carries_on_when_the_first_attempt_fails, hedging_fixture)
+{
+    const auto answer = this->hedge();
+    engine_script{*this->client.attempts[0]}.fail(dispatch_state::maybe_sent);
+    BOOST_TEST(this->client.attempts.size() == 2);
+    this->check_winner(*answer, 1, 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_hedge_that_fails_leaves_the_first_attempt_alone, hedging_fixture)
+{
+    const auto answer = this->hedge();
+    engine_script{*this->client.attempts[1]}.fail(dispatch_state::maybe_sent);
+    this->check_winner(*answer, 0, 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_hedge_that_answers_for_another_attempt_never_wins, hedging_fixture)
+{
+    const auto answer = this->hedge();
+    engine_script{*this->client.attempts[1]}.head().token_of("other/1", "secret");
+    this->check_winner(*answer, 0, 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(there_is_no_hedge_without_budget, hedging_fixture)
+{
+    this->begin();
+    BOOST_TEST(this->client.attempts.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_plain_order_is_never_hedged, hedging_fixture)
+{
+    this->hedges.budget = 1;
+    this->send("POST", "/services/order-desk/orders", "{}",
+               {{"Idempotency-Key", make_uuid_v7(this->time.wall_now(), this->random)}});
+    this->time.run_for(milliseconds{200});
+    BOOST_TEST(this->client.attempts.size() == 1);
+}
+
+} // namespace eelgrassbend
--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -8,6 +8,7 @@
 #include "eelgrassbend/endpoints/endpoint_directory.h"
 #include "eelgrassbend/ledger/ledger.h"
 #include "eelgrassbend/metrics/metrics.h"
+#include "eelgrassbend/routing/hedge_policy.h"
 #include "eelgrassbend/routing/limiter.h"
 #include "eelgrassbend/routing/router.h"
 #include "eelgrassbend/serving/exchange.h"
@@ -175,6 +176,20 @@
     std::set<std::string> open;
 };
 
+class fake_hedges : public hedge_policy {
+public:
+    std::optional<duration> delay(const route_request&, const route_decision&) override
+    {
+        return std::chrono::milliseconds{100};
+    }
+
+    bool start(const service_id&) override { return this->budget-- > 0; }
+
+    void first_token(const service_id&, request_class, duration) override {}
+
+    int budget = 0;
+};
+
 class fake_directory : public endpoint_directory {
 public:
     [[nodiscard]] std::vector<endpoint_info> endpoints(const service_id&) const override
@@ -382,6 +397,7 @@
     fake_directory endpoints;
     fake_endpoint_client client;
     fake_claims claims;
+    fake_hedges hedges;
     fake_ledger bills;
     fake_peer_network network{time, random};
     fake_peer_rpc peers{network, time, {"127.0.0.1", 7001}};
@@ -391,7 +407,7 @@
     fake_status status;
     serving_settings settings{node_id{"entry-1"}};
     serving_services services{settings, time,      random, log,    counters, bundles, limits,
-                              routes,   endpoints, client, claims, bills,    streams};
+                              routes,   endpoints, client, claims, bills,    streams, hedges};
     front door{services, entries, status};
     std::shared_ptr<fake_exchange> last;
 };
--- a/unittests/serving/stream_resume_test.cpp
+++ b/unittests/serving/stream_resume_test.cpp
@@ -62,9 +62,9 @@
     fake_peer_rpc other_peers{network, time, {"127.0.0.1", 7002}};
     fake_membership other_members{{node_id{"entry-2"}}};
     stream_store other_streams{time, other_peers, other_members, {}};
-    serving_services other_services{other_settings, time,   random,       log,       counters,
-                                    bundles,        limits, routes,       endpoints, client,
-                                    claims,         bills,  other_streams};
+    serving_services other_services{other_settings, time,   random,        log,       counters,
+                                    bundles,        limits, routes,        endpoints, client,
+                                    claims,         bills,  other_streams, hedges};
     front other_door{other_services, entries, status};
     std::shared_ptr<fake_exchange> first;
     std::string second_event;
