--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -13,6 +13,8 @@
     std::uint32_t nodes = 0; ///< 0: all sizes that the experiment knows
     std::string deployment = "kilimanjaro";
     bool brief = false; ///< only a few of the cases
+    std::uint64_t seeds = 1000;
+    std::uint64_t first_seed = 1;
 };
 
 /// One measurement; writes its results as JSON lines.
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -20,6 +20,7 @@
 std::unique_ptr<experiment> make_dissemination_experiment();
 std::unique_ptr<experiment> make_bundle_experiment();
 std::unique_ptr<experiment> make_decision_experiment();
+std::unique_ptr<experiment> make_faults_experiment();
 
 } // namespace eelgrassbend::bench
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -10,6 +10,8 @@
 ABSL_FLAG(std::uint32_t, nodes, 0, "number of nodes; 0 runs all sizes of the experiment");
 ABSL_FLAG(std::string, deployment, "kilimanjaro", "kilimanjaro or magnolia; routing only");
 ABSL_FLAG(bool, brief, false, "run only a few of the cases");
+ABSL_FLAG(std::uint64_t, seeds, 1000, "number of seeds; faults only");
+ABSL_FLAG(std::uint64_t, first_seed, 1, "first of the seeds; faults only");
 
 namespace eelgrassbend::bench {
 
@@ -25,6 +27,7 @@
     known.push_back(make_dissemination_experiment());
     known.push_back(make_bundle_experiment());
     known.push_back(make_decision_experiment());
+    known.push_back(make_faults_experiment());
     return known;
 }
 
@@ -43,8 +46,9 @@
     if (arguments.size() != 2) {
         return list(experiments);
     }
-    const experiment_options options{absl::GetFlag(FLAGS_seed), absl::GetFlag(FLAGS_nodes),
-                                     absl::GetFlag(FLAGS_deployment), absl::GetFlag(FLAGS_brief)};
+    const experiment_options options{
+        absl::GetFlag(FLAGS_seed),  absl::GetFlag(FLAGS_nodes), absl::GetFlag(FLAGS_deployment),
+        absl::GetFlag(FLAGS_brief), absl::GetFlag(FLAGS_seeds), absl::GetFlag(FLAGS_first_seed)};
     for (const auto& known : experiments) {
         if (known->name() == arguments[1]) {
             return known->run(options, std::cout);
--- /dev/null
+++ b/unittests/entry/faults_test.cpp
@@ -0,0 +1,20 @@
+#include "entry/fault_run.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace eelgrassbend {
+
+BOOST_AUTO_TEST_CASE(promises_hold_under_combined_faults)
+{
+    constexpr std::uint64_t seeds = 20;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        fakes::fault_run checked{seed};
+        checked.run();
+        for (const auto& violation : checked.violations) {
+            BOOST_ERROR("eelgrassbend-bench faults --seeds=1 --first_seed=" << seed << ": "
+                                                                            << violation);
+        }
+    }
+}
+
+} // namespace eelgrassbend
