Send orders to two nodes at once and leave before answers in fault runs

Change: some orders take up to 6 s, some go to two nodes at once, and some callers are gone before their answer.

--- a/unittests/entry/fault_traffic.h
+++ b/unittests/entry/fault_traffic.h
@@ -101,9 +101,19 @@
         else {
             call->type = fault_call::kind::order;
             call->text = make_uuid_v7(this->fleet.time.wall_now(), this->random);
-            call->service_ms = static_cast<int>(random_below(this->random, 400));
+            constexpr std::array<std::uint64_t, 2> longest_ms{400, 6000};
+            call->service_ms = static_cast<int>(
+                random_below(this->random, longest_ms[random_below(this->random, 2)]));
         }
         this->attempt(*call, random_below(this->random, this->fleet.nodes.size()), {});
+        // Some callers send an order to two nodes at once, or are gone before the answer.
+        if (call->type == fault_call::kind::order && random_below(this->random, 3) == 0) {
+            this->attempt(*call, this->other_node(call->tries.back().node), {});
+        }
+        if (random_below(this->random, 8) == 0) {
+            call->tries.back().left = true;
+            call->tries.back().answer->break_connection(false);
+        }
         this->calls.push_back(std::move(call));
     }
 
