Carry a resumed stream on until its deadline

A flow that goes on with a stream counted as one that had never begun. Change: a resumed flow is accepted work: it waits for an endpoint, and its outcome is never not-run.

--- a/bench/slopes_experiment.cpp
+++ b/bench/slopes_experiment.cpp
@@ -63,6 +63,7 @@
     {
         return this->list;
     }
+
     [[nodiscard]] std::optional<endpoint_info> find(const endpoint_id& id) const override
     {
         for (const auto& info : this->list) {
@@ -72,6 +73,7 @@
         }
         return std::nullopt;
     }
+
     void on_change(std::function<void(const endpoint_info&)>) override {}
 
     std::vector<endpoint_info> list;
@@ -80,7 +82,9 @@
 class one_bundle : public bundle_view {
 public:
     explicit one_bundle(bundle rules) : rules(std::make_shared<const bundle>(std::move(rules))) {}
+
     [[nodiscard]] std::shared_ptr<const bundle> current() const override { return this->rules; }
+
     [[nodiscard]] bool fresh() const override { return true; }
 
 private:
@@ -90,10 +94,12 @@
 class slopes_experiment : public experiment {
 public:
     [[nodiscard]] std::string_view name() const override { return "slopes"; }
+
     [[nodiscard]] std::string_view help() const override
     {
         return "state and message bytes of each role as one number grows, with a fitted line";
     }
+
     int run(const experiment_options& options, std::ostream& out) override;
 };
 
@@ -131,14 +137,10 @@
 static void write(const measured_slope& measured, std::ostream& out)
 {
     const auto line = fit(measured.sizes, measured.values);
-    const nlohmann::ordered_json text{{"role", measured.role},
-                                      {"what", measured.what},
-                                      {"per", measured.per},
-                                      {"sizes", measured.sizes},
-                                      {"values", measured.values},
-                                      {"slope", line.slope},
-                                      {"intercept", line.intercept},
-                                      {"residual", line.residual}};
+    const nlohmann::ordered_json text{{"role", measured.role},       {"what", measured.what},
+                                      {"per", measured.per},         {"sizes", measured.sizes},
+                                      {"values", measured.values},   {"slope", line.slope},
+                                      {"intercept", line.intercept}, {"residual", line.residual}};
     out << text.dump() << "\n";
 }
 
@@ -201,7 +203,8 @@
 /// A router that has sent one request to each of its endpoints.
 struct filled_router {
     explicit filled_router(std::size_t endpoints)
-        : endpoints(endpoints), bundles(make_rules(1)),
+        : endpoints(endpoints),
+          bundles(make_rules(1)),
           routes(time, random, this->endpoints, bundles)
     {
         route_request request;
@@ -297,16 +300,14 @@
     write(state_slope("router", "endpoint", endpoints,
                       [](std::size_t size) { return std::make_unique<filled_router>(size); }),
           out);
-    write(state_slope("bundle follower", "organisation", few,
-                      [](std::size_t size) {
-                          return std::make_shared<const bundle>(make_rules(size));
-                      }),
+    write(state_slope(
+              "bundle follower", "organisation", few,
+              [](std::size_t size) { return std::make_shared<const bundle>(make_rules(size)); }),
           out);
     write(byte_slope("bundle follower", "record bytes", "organisation", few, encoded_bundle), out);
-    write(state_slope("callers' front", "token kept of a stream", many,
-                      [](std::size_t size) {
-                          return std::make_shared<stream_state>(make_stream(size));
-                      }),
+    write(state_slope(
+              "callers' front", "token kept of a stream", many,
+              [](std::size_t size) { return std::make_shared<stream_state>(make_stream(size)); }),
           out);
     write(byte_slope("hand-over", "message bytes", "token of a stream", many,
                      [](std::size_t size) { return encode_stream_state(make_stream(size)); }),
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -312,6 +312,10 @@
 {
     this->attempts = used;
     this->accepted_wall = accepted;
+    // The request was accepted elsewhere and may have run there: it is carried on until its
+    // deadline, and never refused as not run.
+    this->dispatched_once = true;
+    this->may_have_begun = true;
 }
 
 ledger_line request_flow::make_line(token_count prompt, token_count output,
--- a/unittests/serving/stream_resume_test.cpp
+++ b/unittests/serving/stream_resume_test.cpp
@@ -128,6 +128,31 @@
     BOOST_TEST(this->bills.confirmed.size() == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_waits_for_an_endpoint_and_is_never_not_run, two_nodes)
+{
+    this->start_stream();
+    this->first->gone();
+    const auto endpoints = std::exchange(this->routes.order, {});
+    const auto answer = this->come_back(this->other_door, this->second_event);
+    this->time.run_for(seconds{5});
+    BOOST_TEST(!answer->aborted);
+    this->routes.order = endpoints;
+    this->time.run_for(seconds{3});
+    finish(*this, *answer);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_that_finds_no_endpoint_ends_as_unknown, two_nodes)
+{
+    this->start_stream();
+    this->first->gone();
+    this->routes.order.clear();
+    const auto answer = this->come_back(this->other_door, this->second_event);
+    this->time.run_for(seconds{61});
+    BOOST_TEST(answer->aborted);
+    BOOST_TEST(answer->body.find("not-run") == std::string::npos);
+    BOOST_TEST(answer->body.find("unknown") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(nobody_else_gets_a_stream, two_nodes)
 {
     auto venue = this->bundles.rules->organisations.back();
