Close classes with Cap'n Proto's bases and forbid copies of owners

Cause: clang-tidy found classes that can be copied or destroyed through a base without a virtual destructor. Change: the classes are final or cannot be copied.

--- a/include/eelgrassbend/net/asio_datagrams.h
+++ b/include/eelgrassbend/net/asio_datagrams.h
@@ -15,6 +15,8 @@
 class asio_datagrams : public datagram_transport {
 public:
     explicit asio_datagrams(boost::asio::io_context& context);
+    asio_datagrams(const asio_datagrams&) = delete;
+    asio_datagrams& operator=(const asio_datagrams&) = delete;
     ~asio_datagrams() override;
 
     /// Port 0 takes any free port; the answer is the address listened on.
--- a/include/eelgrassbend/peer_rpc/capnp_peer_rpc.h
+++ b/include/eelgrassbend/peer_rpc/capnp_peer_rpc.h
@@ -23,6 +23,8 @@
     /// `runtime` belongs to the same io_context.
     capnp_peer_rpc(boost::asio::io_context& context, rpc_runtime& runtime, scheduler& time,
                    frame_authenticator& authenticator);
+    capnp_peer_rpc(const capnp_peer_rpc&) = delete;
+    capnp_peer_rpc& operator=(const capnp_peer_rpc&) = delete;
     ~capnp_peer_rpc() override;
 
     /// Port 0 takes any free port; the answer is the address that peers call.
--- a/lib/peer_rpc/asio_stream.h
+++ b/lib/peer_rpc/asio_stream.h
@@ -12,7 +12,7 @@
 namespace eelgrassbend {
 
 /// An Asio socket as Cap'n Proto wants a stream.
-class asio_stream : public kj::AsyncIoStream {
+class asio_stream final : public kj::AsyncIoStream {
 public:
     explicit asio_stream(boost::asio::ip::tcp::socket socket);
     asio_stream(const asio_stream&) = delete;
--- a/lib/peer_rpc/capnp_peer_rpc.cpp
+++ b/lib/peer_rpc/capnp_peer_rpc.cpp
@@ -55,7 +55,7 @@
 
 } // namespace
 
-class capnp_peer_rpc::implementation
+class capnp_peer_rpc::implementation final
     : public std::enable_shared_from_this<capnp_peer_rpc::implementation>,
       public kj::TaskSet::ErrorHandler {
 public:
@@ -104,7 +104,7 @@
 namespace {
 
 /// What peers see of this node.
-class call_server : public wire::PeerCalls::Server {
+class call_server final : public wire::PeerCalls::Server {
 public:
     explicit call_server(std::weak_ptr<capnp_peer_rpc::implementation> owner)
         : owner(std::move(owner))
--- a/lib/peer_rpc/rpc_runtime.cpp
+++ b/lib/peer_rpc/rpc_runtime.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Lets Cap'n Proto's promises run whenever the io_context does.
-class asio_event_port : public kj::EventPort {
+class asio_event_port final : public kj::EventPort {
 public:
     explicit asio_event_port(boost::asio::io_context& context) : context(context) {}
 
--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -123,6 +123,9 @@
     public:
         explicit handle(std::shared_ptr<sent_attempt> sent) : sent(std::move(sent)) {}
 
+        handle(const handle&) = delete;
+        handle& operator=(const handle&) = delete;
+
         ~handle() override { this->sent->observer = nullptr; }
 
     private:
