Leave a final class without a virtual destructor

Cause: clang-tidy reports the class at its declaration, where it cannot be seen that it is final. Change: the finding is silenced there.

--- a/include/eelgrassbend/peer_rpc/capnp_peer_rpc.h
+++ b/include/eelgrassbend/peer_rpc/capnp_peer_rpc.h
@@ -35,7 +35,7 @@
               duration timeout, answer_handler handler) override;
     void serve(peer_method method, method_handler handler) override;
 
-    class implementation;
+    class implementation; // NOLINT(cppcoreguidelines-virtual-class-destructor)
 
 private:
     std::shared_ptr<implementation> held;
