--- a/lib/claims/claim_partition.cpp
+++ b/lib/claims/claim_partition.cpp
@@ -149,8 +149,10 @@
 {
     if (!this->take_verdicts(answer)) {
         ++this->context.statistics.owner_failures;
-        this->context.penalties[owner] =
-            this->context.on.timer.now() + this->context.settings.owner_penalty;
+        const auto now = this->context.on.timer.now();
+        std::erase_if(this->context.penalties,
+                      [now](const auto& penalty) { return penalty.second <= now; });
+        this->context.penalties[owner] = now + this->context.settings.owner_penalty;
         this->context.on.events.write(
             log_level::warning, "claim_owner_failed",
             {{"owner", owner.value()},
@@ -337,7 +339,11 @@
 {
     const auto doublings = std::min(this->failures, longest_back_off);
     ++this->failures;
-    return this->context.settings.retry_delay * (1 << doublings);
+    const auto longest = this->context.settings.retry_delay * (1 << doublings);
+    // Nodes that were refused together must not try again together.
+    const auto spread =
+        random_below(this->context.on.random, static_cast<std::uint64_t>(longest.count()) + 1);
+    return longest / 2 + duration{static_cast<std::int64_t>(spread)};
 }
 
 } // namespace eelgrassbend
--- a/lib/claims/log_claim_service.cpp
+++ b/lib/claims/log_claim_service.cpp
@@ -13,6 +13,8 @@
 
 static constexpr const char* claim_step = "claim idempotency key";
 static constexpr duration first_maintenance = std::chrono::seconds{30};
+/// Longest text but the body in a record, in bytes.
+static constexpr std::size_t longest_name = 256;
 static constexpr duration settle_poll = std::chrono::milliseconds{20};
 /// Longest an owner works on a batch, as a share of the time that the asking node waits.
 static constexpr double served_share = 0.7;
@@ -288,6 +290,8 @@
     if (outcome.body.size() > this->context->settings.outcome_body_limit) {
         outcome.body.clear();
     }
+    outcome.content_type.resize(std::min(outcome.content_type.size(), longest_name));
+    outcome.digest.resize(std::min(outcome.digest.size(), longest_name));
     this->end(request, claim_record_kind::finished, std::move(outcome), std::move(handler));
 }
 
@@ -325,18 +329,28 @@
             });
 }
 
+/// Whether a record is small enough not to endanger the append of its whole batch.
+static bool is_bounded(const claim_record& record, std::size_t body_limit)
+{
+    return record.request.value().size() <= longest_name &&
+           record.node.value().size() <= longest_name &&
+           record.outcome.content_type.size() <= longest_name &&
+           record.outcome.digest.size() <= longest_name && record.outcome.body.size() <= body_limit;
+}
+
 void log_claim_service::serve(const std::string& request, const peer_rpc::answer_handler& answer)
 {
     auto batch = decode_claim_batch(request);
     const auto count = static_cast<std::uint32_t>(this->partitions.size());
-    const auto misplaced = [&](const claim_record& record) {
+    const auto unfit = [&](const claim_record& record) {
         return record.kind == claim_record_kind::marker ||
+               !is_bounded(record, this->context->settings.outcome_body_limit) ||
                claim_partition_of(record.key, count) != batch.value().partition;
     };
     // A node with another number of partitions would look for rivals in other streams.
     if (!batch || batch.value().records.empty() || batch.value().partition >= count ||
         batch.value().records.size() > this->context->settings.batch_records ||
-        std::any_of(batch.value().records.begin(), batch.value().records.end(), misplaced)) {
+        std::any_of(batch.value().records.begin(), batch.value().records.end(), unfit)) {
         answer(make_error(errc::invalid_argument, "append claims for a peer"));
         return;
     }
--- a/lib/ledger/ledger_replication.cpp
+++ b/lib/ledger/ledger_replication.cpp
@@ -205,7 +205,9 @@
 void replicated_ledger::penalise(const node_id& peer, const error& failure)
 {
     ++this->counts.peer_failures;
-    this->penalties[peer] = this->on.timer.now() + this->settings.peer_penalty;
+    const auto now = this->on.timer.now();
+    std::erase_if(this->penalties, [now](const auto& penalty) { return penalty.second <= now; });
+    this->penalties[peer] = now + this->settings.peer_penalty;
     this->on.events.write(log_level::warning, "ledger_replica_failed",
                           {{"replica", peer.value()}, {"error", failure.to_string()}});
 }
--- a/unittests/claims/claim_service_test.cpp
+++ b/unittests/claims/claim_service_test.cpp
@@ -307,6 +307,35 @@
     BOOST_TEST(cluster.services[0]->statistics().appends >= 8U);
 }
 
+BOOST_AUTO_TEST_CASE(silent_owners_are_gone_around_within_the_claim_timeout)
+{
+    claims_cluster cluster{4};
+    cluster.run_for(seconds{1});
+    for (std::size_t node = 1; node < 4; ++node) {
+        cluster.nodes[node]->timer.pause();
+    }
+    for (int round = 0; round < 8; ++round) {
+        const auto name = std::to_string(round);
+        BOOST_TEST(state_of(cluster.claim(0, cluster.make_key(), name)) == "granted");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_outcome_too_long_to_keep_leaves_its_digest)
+{
+    claims_cluster cluster{2};
+    const auto key = cluster.make_key();
+    BOOST_TEST(state_of(cluster.claim(0, key, "a")) == "granted");
+    BOOST_TEST(cluster.services[0]->dispatch_allowed(request_id{"a"}));
+    const recorded_outcome outcome{200, std::string(10'000, 't'), std::string(10'000, 'b'), "d1"};
+    cluster.services[0]->finish(request_id{"a"}, outcome, ignore_done);
+    cluster.run_for(seconds{1});
+    const auto again = cluster.claim(1, key, "b");
+    BOOST_TEST(state_of(again) == "finished");
+    BOOST_TEST(again.outcome.body.empty());
+    BOOST_TEST(again.outcome.content_type.size() == 256U);
+    BOOST_TEST(again.outcome.digest == "d1");
+}
+
 BOOST_AUTO_TEST_CASE(an_outage_while_the_outcome_is_recorded_only_delays_it)
 {
     claims_cluster cluster{2};
