Say that handlers of claims and ledger may run at once

Cause: refusals that need no answer of the log call their handler within the call, which the headers did not say. Conclusion: callers know that they have to expect it; no behaviour changes.

--- a/include/eelgrassbend/claims/claim_service.h
+++ b/include/eelgrassbend/claims/claim_service.h
@@ -31,7 +31,8 @@
     error reason;             ///< with `refused`
 };
 
-/// Lets at most one request dispatch under an idempotency key, on all nodes together.
+/// Lets at most one request dispatch under an idempotency key, on all nodes together. Handlers
+/// may run before the call returns.
 class claim_service {
 public:
     using claim_handler = std::function<void(claim_answer)>;
--- a/include/eelgrassbend/ledger/ledger.h
+++ b/include/eelgrassbend/ledger/ledger.h
@@ -25,7 +25,8 @@
     wall_time accepted_at;
 };
 
-/// Keeps what is billed. A line is billed only if it was confirmed.
+/// Keeps what is billed. A line is billed only if it was confirmed. Handlers may run before the
+/// call returns.
 class ledger {
 public:
     using done_handler = std::function<void(result<void>)>;
