Lift the bound on extra datagrams while a node starts

Cause: the bound made a start of all nodes slow: 128 nodes knew each other after 11.3 s instead of 1.3 s. Seen to fail first: the test that 128 nodes find each other within 5 s, with the bound always on; the test that regions that meet again keep to 22 KB a second as a mean of 3 s, with the bound off (81,402 bytes in 3 s of 66,000 allowed).

--- a/lib/membership/swim_membership.cpp
+++ b/lib/membership/swim_membership.cpp
@@ -185,8 +185,12 @@
     }
 }
 
+// When all nodes start at once, waiting would only make them late.
 bool swim_membership::take_extra_datagram()
 {
+    if (this->time.now() < this->joining_until) {
+        return true;
+    }
     if (this->extra_datagrams == 0) {
         return false;
     }
--- a/unittests/membership/swim_membership_test.cpp
+++ b/unittests/membership/swim_membership_test.cpp
@@ -59,6 +59,40 @@
     BOOST_TEST(took.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(nodes_that_all_start_at_once_find_each_other_within_seconds)
+{
+    member_cluster cluster{128, 3};
+    cluster.start();
+    BOOST_TEST(cluster.run_until([&] { return cluster.agrees(); }, 5s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(regions_that_meet_again_keep_to_their_share_of_bytes)
+{
+    // From the target: a node spends at most 22 KB a second for control; here as a mean of 3 s.
+    static constexpr std::uint64_t bytes_per_second = 22'000;
+    static constexpr std::uint64_t seconds = 3;
+    member_cluster cluster{128, 4};
+    settle(cluster);
+    cluster.network.set_filter([](const network_address& from, const network_address& to) {
+        return from.ip.back() % 2 == to.ip.back() % 2;
+    });
+    cluster.time.run_for(120s);
+    cluster.network.set_filter({});
+    const auto spent = [&] {
+        std::uint64_t sum = 0;
+        for (const auto& node : cluster.nodes) {
+            const auto& counters = node->channel.counters();
+            sum += counters.sent_bytes + counters.received_bytes;
+        }
+        return sum / cluster.nodes.size();
+    };
+    for (int window = 0; window < 5; ++window) {
+        const auto before = spent();
+        cluster.time.run_for(std::chrono::seconds{seconds});
+        BOOST_TEST(spent() - before <= seconds * bytes_per_second);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_failure_is_seen_by_all_within_the_bound)
 {
     for (const std::size_t size : {8, 32}) {
