--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -19,6 +19,7 @@
 std::unique_ptr<experiment> make_membership_experiment();
 std::unique_ptr<experiment> make_membership_faults_experiment();
 std::unique_ptr<experiment> make_dissemination_experiment();
+std::unique_ptr<experiment> make_decision_experiment();
 
 } // namespace eelgrassbend::bench
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -24,6 +24,7 @@
     known.push_back(make_membership_experiment());
     known.push_back(make_membership_faults_experiment());
     known.push_back(make_dissemination_experiment());
+    known.push_back(make_decision_experiment());
     return known;
 }
 
--- a/include/eelgrassbend/discovery/entry_directory.h
+++ b/include/eelgrassbend/discovery/entry_directory.h
@@ -13,9 +13,9 @@
 /// One entry host that a caller may use.
 struct entry_choice {
     node_id node;
-    availability_zone zone;
     network_address address;
-    std::uint32_t weight = 1;
+    availability_zone zone;
+    std::uint32_t weight = 1; ///< callers choose in proportion
 };
 
 struct entry_answer {
--- a/lib/serving/front.cpp
+++ b/lib/serving/front.cpp
@@ -1,6 +1,6 @@
 #include "eelgrassbend/serving/front.h"
 
-#include "eelgrassbend/discovery/entry_directory.h"
+#include "eelgrassbend/discovery/discovery.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/metrics/metrics.h"
 #include "eelgrassbend/routing/limiter.h"
@@ -100,17 +100,7 @@
 {
     const auto chosen = this->entry_hosts.entries(organisation_id{request.query("organisation")},
                                                   service_id{request.query("service")});
-    nlohmann::json entries = nlohmann::json::array();
-    for (const auto& choice : chosen.entries) {
-        entries.push_back({{"node", choice.node.value()},
-                           {"zone", choice.zone.value()},
-                           {"address", choice.address.to_string()},
-                           {"weight", choice.weight}});
-    }
-    const auto milliseconds =
-        std::chrono::duration_cast<std::chrono::milliseconds>(chosen.time_to_live).count();
-    const nlohmann::json body{{"entries", std::move(entries)}, {"time_to_live_ms", milliseconds}};
-    respond_text(answer, status_ok, "application/json", body.dump() + "\n");
+    respond_text(answer, status_ok, "application/json", to_json(chosen).dump() + "\n");
 }
 
 static std::string bearer_key(const http_request& request)
