--- a/bench/routing_figures.cpp
+++ b/bench/routing_figures.cpp
@@ -38,8 +38,10 @@
     ++this->gaps[std::min(bin, gap_bins - 1)];
 }
 
-void routing_figures::completed(request_class size, bool within_target, duration elapsed)
+void routing_figures::completed(request_class size, bool within_target, duration elapsed,
+                                std::int64_t tokens)
 {
+    this->tokens_within += within_target ? tokens : 0;
     ++this->whole;
     this->within += within_target ? 1 : 0;
     this->completions.at(static_cast<std::size_t>(size)).push_back(milliseconds(elapsed));
@@ -58,6 +60,7 @@
     }
     const auto met = static_cast<double>(std::max<std::uint64_t>(1, this->within));
     constexpr double thousand = 1000.0;
+    constexpr double million = 1'000'000.0;
     return {
         {"completed", this->whole},
         {"within_target", this->within},
@@ -66,6 +69,9 @@
         {"refused_long", this->refusals[2]},
         {"host_cost_per_1000", this->host_cost / met * thousand},
         {"slot_cost_per_1000", this->slot_cost / met * thousand},
+        {"host_cost_per_million_tokens",
+         this->host_cost * million /
+             static_cast<double>(std::max<std::int64_t>(1, this->tokens_within))},
         {"recomputed_tokens_per_request", static_cast<double>(this->recomputed_tokens) / met},
         {"quick_wait_p50_ms", quantile(this->quick_waits, 0.5)},
         {"quick_wait_p99_ms", quantile(this->quick_waits, 0.99)},
--- a/bench/routing_figures.h
+++ b/bench/routing_figures.h
@@ -19,7 +19,7 @@
     /// queue and the same part of the prompt cached.
     void first_token(request_class size, duration elapsed, duration undisturbed);
     void between_tokens(duration gap);
-    void completed(request_class size, bool within_target, duration elapsed);
+    void completed(request_class size, bool within_target, duration elapsed, std::int64_t tokens);
     void refused(request_class size);
 
     void hedged() { ++this->hedges; }
@@ -45,6 +45,7 @@
     std::vector<std::uint64_t> gaps = std::vector<std::uint64_t>(gap_bins);
     std::uint64_t within = 0;
     std::uint64_t whole = 0;
+    std::int64_t tokens_within = 0; ///< output tokens of requests within the target
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
 };
