--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -11,7 +11,13 @@
 /// Each experiment has its factory in the source file of its name.
 using experiment_list = std::vector<std::unique_ptr<experiment>>;
 
+std::unique_ptr<experiment> make_audit_experiment();
+std::unique_ptr<experiment> make_load_experiment();
 std::unique_ptr<experiment> make_routing_experiment();
+std::unique_ptr<experiment> make_claims_experiment();
+std::unique_ptr<experiment> make_ledger_experiment();
+std::unique_ptr<experiment> make_membership_experiment();
+std::unique_ptr<experiment> make_dissemination_experiment();
 std::unique_ptr<experiment> make_decision_experiment();
 
 } // namespace eelgrassbend::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -16,7 +16,13 @@
 static experiment_list make_experiments()
 {
     experiment_list known;
+    known.push_back(make_audit_experiment());
+    known.push_back(make_load_experiment());
     known.push_back(make_routing_experiment());
+    known.push_back(make_claims_experiment());
+    known.push_back(make_ledger_experiment());
+    known.push_back(make_membership_experiment());
+    known.push_back(make_dissemination_experiment());
     known.push_back(make_decision_experiment());
     return known;
 }
--- a/include/eelgrassbend/discovery/discovery.h
+++ b/include/eelgrassbend/discovery/discovery.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSBEND_DISCOVERY_DISCOVERY_H
 #define EELGRASSBEND_DISCOVERY_DISCOVERY_H
 
+#include "eelgrassbend/discovery/entry_directory.h"
 #include "eelgrassbend/membership/membership.h"
 #include "eelgrassbend/support/ids.h"
 #include "eelgrassbend/support/units.h"
@@ -11,35 +12,22 @@
 
 namespace eelgrassbend {
 
-/// An entry node that a caller may use.
-struct entry_address {
-    node_id node;
-    network_address address;
-    availability_zone zone;
-    std::uint32_t weight = 1; ///< callers choose in proportion
-};
-
-/// The answer to GET /v1/entries.
-struct entry_answer {
-    std::vector<entry_address> entries;
-    duration time_to_live{};
-};
-
-/// An entry node leaving the answers serves on for at least this long.
-constexpr duration entry_time_to_live = std::chrono::seconds{5};
-
 /// Entry nodes of a shard for `nodes` live ones in a region: all when there are few.
 std::size_t shard_size(std::size_t nodes);
 
 /// Steers callers to few entry nodes for each organisation and service.
-class discovery {
+class discovery : public entry_directory {
 public:
-    explicit discovery(const membership& members) : members(members) {}
+    /// Entry nodes that leave the answers serve on for at least `time_to_live`.
+    discovery(const membership& members, duration time_to_live)
+        : members(members), time_to_live(time_to_live)
+    {
+    }
 
     /// Live nodes of this node's region for the organisation and service; leaving, suspect and dead
     /// ones are left out. Only if there are none, those of other regions.
     [[nodiscard]] entry_answer entries(const organisation_id& organisation,
-                                       const service_id& service) const;
+                                       const service_id& service) const override;
 
     /// The other nodes of the organisation's shard for any service, for limits.
     [[nodiscard]] std::vector<node_id> peers_of(const organisation_id& organisation) const;
@@ -52,6 +40,7 @@
     [[nodiscard]] std::vector<member> live_members() const;
 
     const membership& members;
+    duration time_to_live;
 };
 
 /// Body of the answer to GET /v1/entries.
--- a/include/eelgrassbend/limits/rpc_limit_peers.h
+++ b/include/eelgrassbend/limits/rpc_limit_peers.h
@@ -1,14 +1,15 @@
 #ifndef EELGRASSBEND_LIMITS_RPC_LIMIT_PEERS_H
 #define EELGRASSBEND_LIMITS_RPC_LIMIT_PEERS_H
 
-#include "eelgrassbend/discovery/discovery.h"
 #include "eelgrassbend/limits/limit_peers.h"
-#include "eelgrassbend/membership/membership.h"
-#include "eelgrassbend/peers/peer_transport.h"
 
 namespace eelgrassbend {
 
-/// Reaches the other nodes of a shard by peer calls.
+class discovery;
+class membership;
+class peer_rpc;
+
+/// The nodes of an organisation's shard, met by calls between entry nodes.
 class rpc_limit_peers : public limit_peers {
 public:
     rpc_limit_peers(peer_rpc& calls, const membership& members, const discovery& shards);
@@ -22,7 +23,6 @@
     peer_rpc& calls;
     const membership& members;
     const discovery& shards;
-    receiver handler;
 };
 
 } // namespace eelgrassbend
--- a/lib/discovery/discovery.cpp
+++ b/lib/discovery/discovery.cpp
@@ -74,7 +74,7 @@
     const auto key = organisation.value() + "\n" + service.value();
     const auto order = spread_over_zones(ranked(key, shard), shard.size());
     entry_answer answer;
-    answer.time_to_live = entry_time_to_live;
+    answer.time_to_live = this->time_to_live;
     for (const auto& node : order) {
         const bool preferred = answer.entries.size() < preferred_nodes;
         answer.entries.push_back(
@@ -137,8 +137,8 @@
                            {"zone", entry.zone.value()},
                            {"weight", entry.weight}});
     }
-    const auto ttl = std::chrono::duration_cast<std::chrono::seconds>(answer.time_to_live);
-    return {{"entries", entries}, {"ttl_seconds", ttl.count()}};
+    const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(answer.time_to_live);
+    return {{"entries", entries}, {"time_to_live_ms", span.count()}};
 }
 
 } // namespace eelgrassbend
--- a/lib/engine_model/implementation.h
+++ b/lib/engine_model/implementation.h
@@ -1,10 +1,11 @@
 #ifndef EELGRASSBEND_LIB_ENGINE_MODEL_IMPLEMENTATION_H
 #define EELGRASSBEND_LIB_ENGINE_MODEL_IMPLEMENTATION_H
 
+#include "cache_event_log.h"
 #include "prefix_cache.h"
-#include "reports.h"
 
 #include "eelgrassbend/engine_model/engine_model.h"
+#include "eelgrassbend/engine_model/load_history.h"
 
 #include <compare>
 #include <deque>
@@ -109,6 +110,8 @@
     std::map<queue_key, stream_pointer> waiting;
     std::vector<stream_pointer> running;
     std::unordered_map<std::string, stream_pointer> streams; ///< by attempt
+    std::map<std::pair<monotonic_time, std::uint64_t>, stream_pointer>
+        deadlines; ///< by time and arrival
     std::deque<std::pair<attempt_id, std::vector<std::uint64_t>>> ended_lately;
     std::int64_t waiting_prompt_tokens = 0;
     std::uint64_t next_arrival = 0;
--- a/unittests/discovery/discovery_test.cpp
+++ b/unittests/discovery/discovery_test.cpp
@@ -24,7 +24,7 @@
 BOOST_AUTO_TEST_CASE(all_nodes_are_answered_when_there_are_few)
 {
     const fakes::fixed_membership members(7, 4);
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     BOOST_TEST(found.entries(organisation_id{"lodge"}, draft).entries.size() == 7U);
 }
 
@@ -34,7 +34,7 @@
     members.known[1].state = member_state::leaving;
     members.known[2].state = member_state::suspect;
     members.known[3].state = member_state::dead;
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     const auto answer = found.entries(organisation_id{"lodge"}, draft);
     BOOST_TEST((names(answer) == std::set<std::string>{"n0", "n4", "n5"}));
     members.known[0].state = member_state::leaving;
@@ -45,7 +45,7 @@
 BOOST_AUTO_TEST_CASE(shards_at_the_target_size_are_small_and_spread_over_zones)
 {
     const fakes::fixed_membership members(390, 5);
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     std::set<std::set<std::string>> shards;
     for (int number = 0; number < 50; ++number) {
         const organisation_id organisation{"org-" + std::to_string(number)};
@@ -64,7 +64,7 @@
 BOOST_AUTO_TEST_CASE(the_loss_of_one_node_moves_few_entries)
 {
     fakes::fixed_membership members(200, 5);
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     std::map<int, std::set<std::string>> before;
     for (int number = 0; number < 100; ++number) {
         before[number] = names(found.entries(organisation_id{std::to_string(number)}, draft));
@@ -85,7 +85,7 @@
 BOOST_AUTO_TEST_CASE(an_organisation_has_the_same_shard_for_limits_and_all_services)
 {
     const fakes::fixed_membership members(390, 5);
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     const organisation_id lodge{"lodge"};
     const auto first = names(found.entries(lodge, draft));
     BOOST_TEST((first == names(found.entries(lodge, service_id{"order-desk"}))));
@@ -97,7 +97,7 @@
 BOOST_AUTO_TEST_CASE(two_nodes_in_different_zones_get_most_callers)
 {
     const fakes::fixed_membership members(8, 4);
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     const auto answer = found.entries(organisation_id{"lodge"}, draft);
     std::uint32_t total = 0;
     for (const auto& entry : answer.entries) {
@@ -111,7 +111,7 @@
 BOOST_AUTO_TEST_CASE(endpoints_are_watched_from_other_zones)
 {
     const fakes::fixed_membership members(8, 4);
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     std::map<node_id, int> load;
     for (int number = 0; number < 100; ++number) {
         const endpoint_id endpoint{"e" + std::to_string(number)};
@@ -131,9 +131,9 @@
 BOOST_AUTO_TEST_CASE(the_answer_says_how_long_it_holds)
 {
     const fakes::fixed_membership members(3, 3);
-    const discovery found(members);
+    const discovery found(members, std::chrono::seconds{5});
     const auto fields = to_json(found.entries(organisation_id{"lodge"}, draft));
-    BOOST_TEST(fields["ttl_seconds"] == 5);
+    BOOST_TEST(fields["time_to_live_ms"] == 5000);
     BOOST_TEST(fields["entries"].size() == 3U);
 }
 
