Exchange load digests between entry nodes in the daemon

Entry nodes knew of each other's work only from reports of the endpoints. The daemon gets a service that sends the router's digest to the live peers of the region and takes theirs.

Conclusion: enough for 8 nodes; beyond that the receivers have to be chosen.

--- a/lib/entry/decision_services.cpp
+++ b/lib/entry/decision_services.cpp
@@ -16,6 +16,7 @@
 #include "eelgrassbend/membership/swim_membership.h"
 #include "eelgrassbend/metrics/prometheus_metrics.h"
 #include "eelgrassbend/peers/peer_channel.h"
+#include "eelgrassbend/routing/digest_exchange.h"
 #include "eelgrassbend/routing/service_router.h"
 #include "eelgrassbend/serving/stream_store.h"
 
@@ -151,6 +152,18 @@
     });
 }
 
+/// Live peers of this node's region.
+static std::vector<network_address> addresses_of_region(const membership& members)
+{
+    std::vector<network_address> addresses;
+    for (const auto& peer : members.peers()) {
+        if (peer.state == member_state::alive && peer.region == members.self().region) {
+            addresses.push_back(peer.calls);
+        }
+    }
+    return addresses;
+}
+
 static void add_routing(registrar& services, const entry_settings& settings)
 {
     services.add(
@@ -172,6 +185,14 @@
                          needs.get<endpoint_directory>("endpoints"),
                          needs.get<bundle_view>("bundles"));
                  });
+    services.add("digests", {"scheduler", "peer_rpc", "router", "membership"},
+                 [](const resolved_services& needs) {
+                     auto& members = needs.get<membership>("membership");
+                     return std::make_shared<hosted<digest_exchange>>(
+                         needs.get<scheduler>("scheduler"), needs.get<peer_rpc>("peer_rpc"),
+                         needs.get<service_router>("router"), members.self().id,
+                         [&members] { return addresses_of_region(members); });
+                 });
     services.add("watcher", {"scheduler", "endpoint_probe", "router", "endpoints"},
                  [settings](const resolved_services& needs) {
                      auto& endpoints = needs.get<platform_endpoint_directory>("endpoints");
@@ -219,7 +240,7 @@
     services.add("serving",
                  {"scheduler", "random", "event_log", "metrics", "bundles", "limits", "router",
                   "endpoints", "endpoint_client", "claims", "ledger", "streams", "entries",
-                  "status", "watcher"},
+                  "status", "watcher", "digests"},
                  [settings](const resolved_services& needs) {
                      return std::make_shared<serving_service>(settings, needs);
                  });
