Use one hexadecimal codec, one set of Cap'n Proto bytes and the fakes that are there

Cause: reading the whole change showed four pieces written again: hexadecimal digits in the bundle, the ledger and the digest; bytes of Cap'n Proto in the peer calls; a bundle and an endpoint list made up in the bench beside those in unittests/fakes; an attempt described a second time, prompt blocks and all, only for its priority. The virtual fleet made a key that it threw away. Change: support/hex.h, codec/capnp_bytes.h and the fakes serve all; the priority comes from the two numbers it needs.

--- a/bench/slopes_experiment.cpp
+++ b/bench/slopes_experiment.cpp
@@ -15,6 +15,8 @@
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/uuid.h"
 #include "eelgrassbend/support/virtual_scheduler.h"
+#include "fakes/bundle_view.h"
+#include "fakes/endpoint_directory.h"
 
 #include <nlohmann/json.hpp>
 
@@ -44,53 +46,6 @@
     std::vector<double> values;
 };
 
-/// Endpoints that a test makes up.
-class listed_endpoints : public endpoint_directory {
-public:
-    explicit listed_endpoints(std::size_t count)
-    {
-        for (std::size_t number = 0; number < count; ++number) {
-            endpoint_info info;
-            info.id = endpoint_id{"endpoint-" + std::to_string(number)};
-            info.service = service_id{"draft-llm"};
-            info.zone = availability_zone{"zone-" + std::to_string(number % 10)};
-            info.type = machine_class{"standard"};
-            this->list.push_back(info);
-        }
-    }
-
-    [[nodiscard]] std::vector<endpoint_info> endpoints(const service_id&) const override
-    {
-        return this->list;
-    }
-
-    [[nodiscard]] std::optional<endpoint_info> find(const endpoint_id& id) const override
-    {
-        for (const auto& info : this->list) {
-            if (info.id == id) {
-                return info;
-            }
-        }
-        return std::nullopt;
-    }
-
-    void on_change(std::function<void(const endpoint_info&)>) override {}
-
-    std::vector<endpoint_info> list;
-};
-
-class one_bundle : public bundle_view {
-public:
-    explicit one_bundle(bundle rules) : rules(std::make_shared<const bundle>(std::move(rules))) {}
-
-    [[nodiscard]] std::shared_ptr<const bundle> current() const override { return this->rules; }
-
-    [[nodiscard]] bool fresh() const override { return true; }
-
-private:
-    std::shared_ptr<const bundle> rules;
-};
-
 class slopes_experiment : public experiment {
 public:
     [[nodiscard]] std::string_view name() const override { return "slopes"; }
@@ -200,18 +155,29 @@
     return rules;
 }
 
+static endpoint_info make_endpoint(std::size_t number)
+{
+    endpoint_info info;
+    info.id = endpoint_id{"endpoint-" + std::to_string(number)};
+    info.service = service_id{"draft-llm"};
+    info.zone = availability_zone{"zone-" + std::to_string(number % 10)};
+    info.type = machine_class{"standard"};
+    return info;
+}
+
 /// A router that has sent one request to each of its endpoints.
 struct filled_router {
-    explicit filled_router(std::size_t endpoints)
-        : endpoints(endpoints),
-          bundles(make_rules(1)),
-          routes(time, random, this->endpoints, bundles)
+    explicit filled_router(std::size_t count)
+        : bundles(make_rules(1)), routes(time, random, this->endpoints, bundles)
     {
         route_request request;
         request.service = service_id{"draft-llm"};
         request.prompt_tokens = token_count{400};
         request.expected_output = token_count{100};
-        for (const auto& info : this->endpoints.list) {
+        for (std::size_t number = 0; number < count; ++number) {
+            this->endpoints.set(make_endpoint(number));
+        }
+        for (const auto& info : this->endpoints.endpoints(request.service)) {
             const attempt_id attempt{info.id.value() + "/1"};
             static_cast<void>(this->routes.choose(request));
             this->routes.dispatched(attempt, info.id, request);
@@ -221,8 +187,8 @@
 
     virtual_scheduler time;
     seeded_random random{1};
-    listed_endpoints endpoints;
-    one_bundle bundles;
+    fakes::directory endpoints;
+    fakes::fixed_bundle bundles;
     service_router routes;
 };
 
--- a/lib/bundle/hex.h
+++ b/include/eelgrassbend/support/hex.h
@@ -1,5 +1,5 @@
-#ifndef EELGRASSBEND_LIB_BUNDLE_HEX_H
-#define EELGRASSBEND_LIB_BUNDLE_HEX_H
+#ifndef EELGRASSBEND_SUPPORT_HEX_H
+#define EELGRASSBEND_SUPPORT_HEX_H
 
 #include <cstddef>
 #include <optional>
--- a/lib/bundle/bundle_reader.cpp
+++ b/lib/bundle/bundle_reader.cpp
@@ -1,6 +1,6 @@
 #include "bundle_reader.h"
 
-#include "hex.h"
+#include "eelgrassbend/support/hex.h"
 
 #include <algorithm>
 #include <array>
--- a/lib/bundle/signing.cpp
+++ b/lib/bundle/signing.cpp
@@ -1,6 +1,6 @@
 #include "eelgrassbend/bundle/signing.h"
 
-#include "hex.h"
+#include "eelgrassbend/support/hex.h"
 
 #include <openssl/evp.h>
 
--- a/lib/ledger/ledger_record.cpp
+++ b/lib/ledger/ledger_record.cpp
@@ -1,37 +1,12 @@
 #include "eelgrassbend/ledger/ledger_record.h"
 
+#include "eelgrassbend/support/hex.h"
+
 #include "ledger_codec.h"
 
 namespace eelgrassbend {
 
 static constexpr std::size_t digest_bytes = 32;
-static constexpr std::string_view hex_digits = "0123456789abcdef";
-
-static std::string hex_to_bytes(std::string_view text)
-{
-    std::string bytes;
-    for (std::size_t index = 0; index + 1 < text.size(); index += 2) {
-        const auto high = hex_digits.find(text[index]);
-        const auto low = hex_digits.find(text[index + 1]);
-        if (high == std::string_view::npos || low == std::string_view::npos) {
-            return {};
-        }
-        bytes += static_cast<char>((high << 4U) | low);
-    }
-    return bytes;
-}
-
-static std::string bytes_to_hex(std::string_view bytes)
-{
-    std::string text;
-    text.reserve(bytes.size() * 2);
-    for (const char byte : bytes) {
-        const auto value = static_cast<unsigned char>(byte);
-        text += hex_digits[value >> 4U];
-        text += hex_digits[value & 0x0fU];
-    }
-    return text;
-}
 
 void write_line(const ledger_line& line, ledger_schema::Line::Builder out)
 {
@@ -44,7 +19,8 @@
     out.setPromptTokens(line.prompt_tokens.value());
     out.setOutputTokens(line.output_tokens.value());
     out.setPrice(line.price.value());
-    const auto digest = hex_to_bytes(line.answer_digest);
+    const auto& digits = line.answer_digest;
+    const auto digest = from_hex(digits, digits.size() / 2).value_or(std::string{});
     out.setAnswerDigest(as_data(digest));
     out.setAcceptedAt(line.accepted_at.time_since_epoch().count());
 }
@@ -65,7 +41,7 @@
     line.prompt_tokens = token_count{in.getPromptTokens()};
     line.output_tokens = token_count{in.getOutputTokens()};
     line.price = money{in.getPrice()};
-    line.answer_digest = bytes_to_hex(digest);
+    line.answer_digest = to_hex(digest);
     line.accepted_at = wall_time{duration{in.getAcceptedAt()}};
     return line;
 }
--- a/lib/peer_rpc/capnp_peer_rpc.cpp
+++ b/lib/peer_rpc/capnp_peer_rpc.cpp
@@ -1,6 +1,6 @@
 #include "eelgrassbend/peer_rpc/capnp_peer_rpc.h"
 
-#include "eelgrassbend/codec/kj_compare.h"
+#include "eelgrassbend/codec/capnp_bytes.h"
 #include "eelgrassbend/peer_rpc/rpc_runtime.h"
 #include "eelgrassbend/peers/peer_message.h"
 #include "eelgrassbend/support/hash.h"
@@ -24,16 +24,6 @@
 
 static constexpr std::size_t longest_frame_bytes = 4 * 1024 * 1024;
 
-static std::string to_string(capnp::Data::Reader data)
-{
-    return {reinterpret_cast<const char*>(data.begin()), data.size()};
-}
-
-static capnp::Data::Reader as_data(const std::string& bytes)
-{
-    return {reinterpret_cast<const capnp::byte*>(bytes.data()), bytes.size()};
-}
-
 namespace {
 
 /// A connection to a peer; calls wait until it is open.
--- a/lib/serving/model_flow.cpp
+++ b/lib/serving/model_flow.cpp
@@ -156,11 +156,11 @@
 }
 
 /// Engines serve higher numbers first; a class outweighs any organisation's priority.
-static std::string engine_priority(const route_request& wanted)
+static std::string engine_priority(request_class size, std::int32_t organisation_priority)
 {
     constexpr std::int32_t class_weight = 1000;
-    const auto rank = 2 - static_cast<std::int32_t>(wanted.size);
-    return std::to_string(rank * class_weight + wanted.priority);
+    const auto rank = 2 - static_cast<std::int32_t>(size);
+    return std::to_string(rank * class_weight + organisation_priority);
 }
 
 void model_flow::attempt_replaced()
@@ -186,10 +186,11 @@
     const auto deadline = this->accepted_at + this->admitted.service->request_deadline;
     const auto left =
         std::chrono::duration_cast<std::chrono::milliseconds>(deadline - this->services.time.now());
-    request.headers = {{"Content-Type", "application/json"},
-                       {"X-Request-Id", this->admitted.id.value()},
-                       {"X-Priority", engine_priority(this->describe())},
-                       {"X-Deadline-Ms", std::to_string(left.count())}};
+    request.headers = {
+        {"Content-Type", "application/json"},
+        {"X-Request-Id", this->admitted.id.value()},
+        {"X-Priority", engine_priority(this->estimate.size, this->admitted.organisation->priority)},
+        {"X-Deadline-Ms", std::to_string(left.count())}};
     request.body = engine_body(this->completion, this->admitted.service->model, this->emitted);
     return request;
 }
--- a/lib/support/hash.cpp
+++ b/lib/support/hash.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassbend/support/hash.h"
 
+#include "eelgrassbend/support/hex.h"
+
 #include <openssl/evp.h>
 #include <xxhash.h>
 
@@ -19,14 +21,7 @@
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
     EVP_Digest(bytes.data(), bytes.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(static_cast<std::size_t>(length) * 2);
-    for (unsigned int index = 0; index < length; ++index) {
-        text += digits[digest.at(index) >> 4U];
-        text += digits[digest.at(index) & 0x0fU];
-    }
-    return text;
+    return to_hex({reinterpret_cast<const char*>(digest.data()), length});
 }
 
 std::vector<std::string> rendezvous(std::string_view key, const std::vector<std::string>& members,
--- a/lib/bundle/hex.cpp
+++ b/lib/support/hex.cpp
@@ -1,4 +1,4 @@
-#include "hex.h"
+#include "eelgrassbend/support/hex.h"
 
 namespace eelgrassbend {
 
--- a/unittests/fakes/virtual_fleet.h
+++ b/unittests/fakes/virtual_fleet.h
@@ -352,9 +352,8 @@
           endpoints(time),
           datagrams(time, random),
           calls{time, random},
-          operator_key(generate_signing_key().value())
+          operator_key(load_signing_key(std::string(64, '7')).value())
     {
-        this->operator_key = load_signing_key(std::string(64, '7')).value();
     }
 
     ~virtual_fleet()
