Let the HTTP parts speak to endpoints and stores of other platforms

Cause: the endpoint client knows one name for the echo of an attempt, fails on an answer to an earlier one, and probes a fixed path; the server waits for an acknowledgement that nobody asked for before it reads on. Change: the echo's name, answers without it or without a length, late second answers and the probe are limits of the client, with today's behaviour as the default. Idle connections are left alone from half of the time that the endpoint announces, and one on which something arrived is not used again. The HTTP client sends headers and other content types. The server tells its callers of a stop before it closes what is idle, takes new limits, and only polls for acknowledgements with a handler.

--- a/include/eelgrassbend/net/asio_endpoint_client.h
+++ b/include/eelgrassbend/net/asio_endpoint_client.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -18,6 +19,16 @@
     std::size_t idle_connections = 32;             ///< kept for each endpoint
     std::size_t head_bytes = 16 * 1024;
     std::size_t body_bytes = 64 * 1024 * 1024;
+    /// Names the attempt in requests; answers echo it.
+    std::string attempt_header = "X-Attempt-Id";
+    /// Whether answers need not echo it; an echo must be right in any case.
+    bool accept_unnamed = false;
+    /// Answers to earlier attempts that are skipped on a connection before the one that is due.
+    int skipped_answers = 0;
+    /// Asked on a fresh connection after silence; empty: old connections are retired at once.
+    std::string probe_target = "/healthz";
+    /// Whether an answer without a length may end with its connection.
+    bool accept_unframed = false;
 };
 
 /// An endpoint client over HTTP/1.1. When an attempt makes no progress, the endpoint is probed on
--- a/include/eelgrassbend/net/http_server.h
+++ b/include/eelgrassbend/net/http_server.h
@@ -36,7 +36,11 @@
 
     /// Port 0 takes any free port; the answer is the address listened on.
     result<network_address> listen(const network_address& address);
-    /// Answers from now on carry `Connection: close`; idle connections close.
+    /// Applies to requests that begin from now on.
+    void set_limits(const http_limits& limits);
+    /// Answers from now on carry `Connection: close`.
+    void announce_close();
+    /// The same, and idle connections close.
     void drain();
     /// Stops listening; exchanges under way go on.
     void stop_listening();
--- a/include/eelgrassbend/platform/http_client.h
+++ b/include/eelgrassbend/platform/http_client.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace eelgrassbend {
 
@@ -14,8 +16,10 @@
     network_address peer;
     std::string method = "GET";
     std::string target;
-    std::string body; ///< JSON; may be empty
+    std::string body; ///< may be empty
     duration timeout = std::chrono::seconds{5};
+    std::string content_type = "application/json";            ///< of the body
+    std::vector<std::pair<std::string, std::string>> headers; ///< besides the usual ones
 };
 
 struct http_answer {
--- a/lib/net/asio_endpoint_client.cpp
+++ b/lib/net/asio_endpoint_client.cpp
@@ -1,7 +1,10 @@
 #include "eelgrassbend/net/asio_endpoint_client.h"
 
+#include "idle_socket.h"
+
 #include <utility>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -9,11 +12,14 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace eelgrassbend {
@@ -50,7 +56,7 @@
 struct asio_endpoint_client::pool : std::enable_shared_from_this<asio_endpoint_client::pool> {
     struct idle_connection {
         connection_ptr link;
-        std::chrono::steady_clock::time_point since;
+        std::chrono::steady_clock::time_point until; ///< used no longer
     };
 
     struct endpoint_entry {
@@ -66,7 +72,7 @@
     }
 
     connection_ptr take_idle(const network_address& address);
-    void give_back(const network_address& address, connection_ptr link);
+    void give_back(const network_address& address, connection_ptr link, duration idle_time);
     void probe(const network_address& address);
     void retire_older(const network_address& address, std::uint64_t probed_generation);
 
@@ -99,10 +105,13 @@
     void connect();
     void send();
     void sent(error_code failure);
+    [[nodiscard]] bool is_answer_to_attempt() const;
     void read_head();
     void read_body();
     void body_read(error_code failure, std::size_t length);
+    [[nodiscard]] duration idle_time() const;
     void finish();
+    void pass_over_answer();
     void fail(errc code, const std::string& detail);
     void expect_progress();
 
@@ -116,30 +125,34 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, read_buffer_bytes> chunk{};
     dispatch_state dispatched = dispatch_state::not_sent;
+    bool is_stray = false; ///< the answer that is being read belongs to another request
+    int strays = 0;
     std::chrono::steady_clock::time_point last_progress;
 };
 
 connection_ptr asio_endpoint_client::pool::take_idle(const network_address& address)
 {
     auto& entry = this->entries[address];
-    const auto oldest = std::chrono::steady_clock::now() - this->limits.idle_time;
+    const auto now = std::chrono::steady_clock::now();
     while (!entry.idle.empty()) {
         auto candidate = std::move(entry.idle.back());
         entry.idle.pop_back();
-        if (candidate.since >= oldest && candidate.link->generation == entry.generation) {
+        if (now < candidate.until && candidate.link->generation == entry.generation &&
+            is_quiet(candidate.link->stream.socket())) {
             return candidate.link;
         }
     }
     return nullptr;
 }
 
-void asio_endpoint_client::pool::give_back(const network_address& address, connection_ptr link)
+void asio_endpoint_client::pool::give_back(const network_address& address, connection_ptr link,
+                                           duration idle_time)
 {
     auto& entry = this->entries[address];
     if (link->generation != entry.generation) {
         return;
     }
-    entry.idle.push_back({std::move(link), std::chrono::steady_clock::now()});
+    entry.idle.push_back({std::move(link), std::chrono::steady_clock::now() + idle_time});
     if (entry.idle.size() > this->limits.idle_connections) {
         entry.idle.pop_front();
     }
@@ -152,11 +165,15 @@
     if (entry.probing) {
         return;
     }
+    if (this->limits.probe_target.empty()) {
+        this->retire_older(address, entry.generation);
+        return;
+    }
     entry.probing = true;
     auto link = std::make_shared<connection>(this->context, entry.generation);
     link->stream.expires_after(this->limits.connect_timeout);
-    auto message =
-        std::make_shared<http::request<http::empty_body>>(http::verb::get, "/healthz", http_1_1);
+    auto message = std::make_shared<http::request<http::empty_body>>(
+        http::verb::get, this->limits.probe_target, http_1_1);
     message->set(http::field::host, address.to_string());
     auto answer = std::make_shared<http::response<http::string_body>>();
     const auto done = [self = this->shared_from_this(), address, link](bool answered) {
@@ -252,9 +269,13 @@
     this->message->method_string(this->request.method);
     this->message->set(http::field::host, this->address.to_string());
     for (const auto& [name, value] : this->request.headers) {
-        this->message->set(name, value);
+        if (boost::algorithm::iequals(name, "Host")) {
+            this->message->set(http::field::host, value);
+            continue;
+        }
+        this->message->insert(name, value);
     }
-    this->message->set("X-Attempt-Id", this->request.attempt.value());
+    this->message->set(this->pool->limits.attempt_header, this->request.attempt.value());
     this->message->body() = std::move(this->request.body);
     this->message->prepare_payload();
     this->dispatched = dispatch_state::maybe_sent;
@@ -276,6 +297,18 @@
     this->read_head();
 }
 
+// An endpoint that refuses a request may not echo its id; the connection then carries nothing
+// else, since each one is used by one attempt at a time and closed when anything is left on it.
+bool endpoint_attempt::is_answer_to_attempt() const
+{
+    const auto& head = this->parser->get();
+    const auto echoed = head.find(this->pool->limits.attempt_header);
+    if (echoed == head.end()) {
+        return this->pool->limits.accept_unnamed;
+    }
+    return echoed->value() == this->request.attempt.value();
+}
+
 void endpoint_attempt::read_head()
 {
     this->parser.emplace();
@@ -292,8 +325,9 @@
                                     return;
                                 }
                                 const auto& head = self->parser->get();
-                                if (head["X-Attempt-Id"] != self->request.attempt.value()) {
-                                    self->fail(errc::mismatched, "answer is for another attempt");
+                                self->is_stray = !self->is_answer_to_attempt();
+                                if (self->is_stray) {
+                                    self->pass_over_answer();
                                     return;
                                 }
                                 self->expect_progress();
@@ -334,7 +368,7 @@
         return;
     }
     const auto received = this->chunk.size() - this->parser->get().body().size;
-    if (received > 0) {
+    if (received > 0 && !this->is_stray) {
         this->expect_progress();
         this->observer->body({this->chunk.data(), received});
     }
@@ -343,20 +377,55 @@
     }
 }
 
+// A request that crosses the endpoint's close of an idle connection cannot be told from one that
+// ran, so the connection is left alone well before.
+duration endpoint_attempt::idle_time() const
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto longest = this->pool->limits.idle_time;
+    const auto field = this->parser->get()["Keep-Alive"];
+    const std::string_view announced{field.data(), field.size()};
+    const auto start = announced.find(parameter);
+    if (start == std::string_view::npos) {
+        return longest;
+    }
+    const auto number = announced.substr(start + parameter.size());
+    std::int64_t seconds = 0;
+    if (std::from_chars(number.data(), number.data() + number.size(), seconds).ec != std::errc{}) {
+        return longest;
+    }
+    return std::min<duration>(longest, std::chrono::seconds{seconds} / 2);
+}
+
 void endpoint_attempt::finish()
 {
-    // An answer that ends with the connection cannot be told from one that was cut.
-    if (this->parser->need_eof()) {
+    // An answer that ends with the connection cannot be told from one that was cut, unless the
+    // endpoint is known to reset what it cuts.
+    if (this->parser->need_eof() && !this->pool->limits.accept_unframed) {
         this->fail(errc::truncated, "answer has no length");
         return;
     }
+    if (this->is_stray) {
+        this->read_head();
+        return;
+    }
     this->progress_timer.cancel();
-    if (this->parser->keep_alive()) {
-        this->pool->give_back(this->address, std::move(this->link));
+    if (this->parser->keep_alive() && this->link->buffer.size() == 0) {
+        this->pool->give_back(this->address, std::move(this->link), this->idle_time());
     }
     std::exchange(this->observer, nullptr)->completed();
 }
 
+// A late second answer to an earlier request comes before the one that is due.
+void endpoint_attempt::pass_over_answer()
+{
+    if (!this->parser->keep_alive() || ++this->strays > this->pool->limits.skipped_answers) {
+        this->fail(errc::mismatched, "answer is for another attempt");
+        return;
+    }
+    this->read_body();
+}
+
 void endpoint_attempt::fail(errc code, const std::string& detail)
 {
     if (!this->active()) {
--- a/lib/net/asio_http_client.cpp
+++ b/lib/net/asio_http_client.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassbend/net/asio_http_client.h"
 
+#include "idle_socket.h"
+
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -48,18 +50,6 @@
     std::map<network_address, std::deque<connection_ptr>> idle;
 };
 
-/// Whether the peer has neither closed an idle connection nor sent anything on it. A request
-/// that is sent on a closed one fails in a way that leaves open whether it was carried out.
-static bool still_open(connection& link)
-{
-    auto& socket = link.stream.socket();
-    char byte = 0;
-    error_code failure;
-    socket.non_blocking(true, failure);
-    socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, failure);
-    return failure == asio::error::would_block;
-}
-
 connection_ptr asio_http_client::pool::take(const network_address& peer)
 {
     auto& waiting = this->idle[peer];
@@ -67,7 +57,7 @@
         auto link = std::move(waiting.back());
         waiting.pop_back();
         const bool young = std::chrono::steady_clock::now() - link->idle_since < idle_limit;
-        if (young && still_open(*link)) {
+        if (young && is_quiet(link->stream.socket())) {
             return link;
         }
     }
@@ -121,8 +111,11 @@
     this->message.target(this->call.target);
     this->message.version(http_1_1);
     this->message.set(http::field::host, this->call.peer.to_string());
+    for (const auto& [name, value] : this->call.headers) {
+        this->message.set(name, value);
+    }
     if (!this->call.body.empty()) {
-        this->message.set(http::field::content_type, "application/json");
+        this->message.set(http::field::content_type, this->call.content_type);
         this->message.body() = this->call.body;
     }
     this->message.prepare_payload();
--- a/lib/net/http_server.cpp
+++ b/lib/net/http_server.cpp
@@ -82,6 +82,16 @@
     return network_address{address.ip, acceptor.local_endpoint().port()};
 }
 
+void http_server::set_limits(const http_limits& limits)
+{
+    this->shared->common->limits = limits;
+}
+
+void http_server::announce_close()
+{
+    this->shared->common->draining = true;
+}
+
 void http_server::drain()
 {
     this->shared->common->drain();
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -59,6 +59,7 @@
     void watch_for_close();
     void write_next();
     void written(boost::system::error_code failure);
+    void answer_written();
     void await_acknowledgement();
     void answer_delivered();
     void connection_failed(const std::string& detail);
@@ -379,8 +380,7 @@
         return;
     }
     if (this->ending) {
-        this->acknowledgement_left = this->common->limits.write_time;
-        this->await_acknowledgement();
+        this->answer_written();
     }
 }
 
@@ -396,11 +396,21 @@
     this->delivered = std::move(handler);
     this->ending = true;
     if (!this->writing) {
-        this->acknowledgement_left = this->common->limits.write_time;
-        this->await_acknowledgement();
+        this->answer_written();
     }
 }
 
+// Nobody waits for an acknowledgement without a handler.
+void http_session::answer_written()
+{
+    if (!this->delivered) {
+        this->answer_delivered();
+        return;
+    }
+    this->acknowledgement_left = this->common->limits.write_time;
+    this->await_acknowledgement();
+}
+
 /// After a reset the kernel forgets what was not acknowledged.
 static bool is_reset(int socket)
 {
--- /dev/null
+++ b/lib/net/idle_socket.h
@@ -0,0 +1,24 @@
+#ifndef EELGRASSBEND_LIB_NET_IDLE_SOCKET_H
+#define EELGRASSBEND_LIB_NET_IDLE_SOCKET_H
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace eelgrassbend {
+
+/// Whether the peer has neither closed an idle connection nor sent anything on it. A request that
+/// is sent on a closed one fails in a way that leaves open whether it was carried out, and what
+/// arrives between two requests belongs to neither.
+inline bool is_quiet(boost::asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    boost::system::error_code failure;
+    socket.non_blocking(true, failure);
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek,
+                   failure);
+    return failure == boost::asio::error::would_block;
+}
+
+} // namespace eelgrassbend
+
+#endif
