Split event streams into whole events, byte for byte

Cause: a proxy must pass on events as they are and know where one ends; the parser kept only their data. Change: sse_splitter holds the framing, and the parser is built upon it; sse_event_id reads an event's id.

--- a/lib/serving/sse.cpp
+++ b/lib/serving/sse.cpp
@@ -1,5 +1,9 @@
 #include "eelgrassbend/serving/sse.h"
 
+#include <algorithm>
+#include <optional>
+#include <utility>
+
 namespace eelgrassbend {
 
 static std::string_view strip_carriage_return(std::string_view line)
@@ -10,6 +14,19 @@
     return line;
 }
 
+/// The value of a line that begins with `field`, without the blank after it; nothing otherwise.
+static std::optional<std::string_view> field_value(std::string_view line, std::string_view field)
+{
+    if (!line.starts_with(field)) {
+        return std::nullopt;
+    }
+    line.remove_prefix(field.size());
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    return line;
+}
+
 /// The data lines of one event, joined by line feeds.
 static std::string event_data(std::string_view event)
 {
@@ -18,19 +35,15 @@
     bool first = true;
     while (!event.empty()) {
         const auto end = std::min(event.find('\n'), event.size());
-        auto line = strip_carriage_return(event.substr(0, end));
+        const auto value = field_value(strip_carriage_return(event.substr(0, end)), field);
         event.remove_prefix(std::min(end + 1, event.size()));
-        if (line.substr(0, field.size()) != field) {
+        if (!value) {
             continue;
         }
-        line.remove_prefix(field.size());
-        if (!line.empty() && line.front() == ' ') {
-            line.remove_prefix(1);
-        }
         if (!first) {
             data += '\n';
         }
-        data += line;
+        data += *value;
         first = false;
     }
     return data;
@@ -47,7 +60,7 @@
     return plain == std::string_view::npos ? plain : plain + 2;
 }
 
-result<std::vector<std::string>> sse_parser::feed(std::string_view bytes)
+result<std::vector<std::string>> sse_splitter::feed(std::string_view bytes)
 {
     this->pending += bytes;
     std::vector<std::string> events;
@@ -58,19 +71,43 @@
         if (length == std::string_view::npos) {
             break;
         }
-        auto data = event_data(rest.substr(0, length));
-        if (!data.empty()) {
-            events.push_back(std::move(data));
-        }
+        events.emplace_back(rest.substr(0, length));
         consumed += length;
     }
     this->pending.erase(0, consumed);
-    if (this->pending.size() > longest_event_bytes) {
+    if (this->pending.size() > sse_parser::longest_event_bytes) {
         return make_error(errc::invalid_argument, "read event stream", {}, "event is too long");
     }
     return events;
 }
 
+std::string sse_event_id(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        if (const auto id = field_value(strip_carriage_return(event.substr(0, end)), "id:")) {
+            return std::string{*id};
+        }
+        event.remove_prefix(std::min(end + 1, event.size()));
+    }
+    return {};
+}
+
+result<std::vector<std::string>> sse_parser::feed(std::string_view bytes)
+{
+    auto events = this->splitter.feed(bytes);
+    if (!events) {
+        return events.error();
+    }
+    std::vector<std::string> contents;
+    for (const auto& event : events.value()) {
+        if (auto data = event_data(event); !data.empty()) {
+            contents.push_back(std::move(data));
+        }
+    }
+    return contents;
+}
+
 std::string format_sse(std::string_view id, std::string_view data)
 {
     std::string text;
