Serve the users' platform: adapter, forwarding flow and gateway program

Cause: the daemon could not be deployed on the users' platform at all. Change: platform/ holds names, codecs and calls of the platform; lib/serving gains a flow that passes requests and answers on as they are, from the same exchange and endpoint client as the other flows; lib/gateway puts the decisions together; eelgrassbend-gateway is the program, its TOML settings are rendered from deploy/settings.toml.

--- a/cmake/components.cmake
+++ b/cmake/components.cmake
@@ -2,7 +2,7 @@
 # library, unittests/<component> one test program, tools/<program> one program.
 
 add_library(eelgrassbend_options INTERFACE)
-target_include_directories(eelgrassbend_options INTERFACE ${PROJECT_SOURCE_DIR}/include)
+target_include_directories(eelgrassbend_options INTERFACE ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR})
 target_include_directories(eelgrassbend_options SYSTEM INTERFACE ${PROJECT_SOURCE_DIR}/generated)
 target_compile_definitions(eelgrassbend_options INTERFACE
   BOOST_ASIO_HAS_CO_AWAIT=1 BOOST_ASIO_HAS_STD_COROUTINE=1 BOOST_ALL_NO_LIB=1)
@@ -40,10 +40,22 @@
   target_link_libraries(${name} PRIVATE eelgrassbend_options ${ARGN})
 endfunction()
 
+# Adds only what the gateway program is made of.
+function(eelgrassbend_add_gateway_components)
+  foreach(component support tokens bundle discovery routes store placement duties limits fleet
+      gateway serving settings
+      kernel logging metrics net)
+    add_subdirectory(${PROJECT_SOURCE_DIR}/lib/${component})
+  endforeach()
+  add_subdirectory(${PROJECT_SOURCE_DIR}/platform)
+  add_subdirectory(${PROJECT_SOURCE_DIR}/tools/eelgrassbend-gateway)
+endfunction()
+
 # Adds every directory of lib, tools, bench and unittests that has a CMakeLists.txt.
 function(eelgrassbend_add_all_components)
   file(GLOB lists CONFIGURE_DEPENDS
     ${PROJECT_SOURCE_DIR}/lib/*/CMakeLists.txt
+    ${PROJECT_SOURCE_DIR}/platform/CMakeLists.txt
     ${PROJECT_SOURCE_DIR}/tools/*/CMakeLists.txt
     ${PROJECT_SOURCE_DIR}/bench/CMakeLists.txt
     ${PROJECT_SOURCE_DIR}/unittests/*/CMakeLists.txt)
--- /dev/null
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -0,0 +1,84 @@
+#ifndef EELGRASSBEND_GATEWAY_NODE_PRESENCE_H
+#define EELGRASSBEND_GATEWAY_NODE_PRESENCE_H
+
+#include "eelgrassbend/duties/duty_lease.h"
+#include "eelgrassbend/fleet/fleet_view.h"
+#include "eelgrassbend/limits/fleet_quota.h"
+#include "eelgrassbend/limits/retry_budget.h"
+#include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/peers/peer_transport.h"
+#include "eelgrassbend/placement/load_model.h"
+#include "eelgrassbend/store/keyed_follower.h"
+#include "eelgrassbend/support/scheduler.h"
+
+#include <functional>
+#include <memory>
+
+namespace eelgrassbend {
+
+/// What a node says of itself.
+struct node_identity {
+    node_id node;
+    availability_zone zone;
+    network_address callers;
+    network_address datagrams;
+};
+
+/// Makes this node known to the others: by a record in the store, written once, and by digests
+/// sent to them directly. Takes their digests.
+class node_presence : public keyed_observer, public duty_candidates {
+public:
+    using readiness = std::function<bool()>;
+
+    node_presence(record_store& store, datagram_transport& datagrams, scheduler& time,
+                  event_log& log, node_identity identity, fleet_view& fleet, load_model& loads,
+                  fleet_quota& quotas, retry_budget& retries, usage_board& usage);
+    ~node_presence() override;
+    node_presence(const node_presence&) = delete;
+    node_presence& operator=(const node_presence&) = delete;
+
+    /// `is_ready`: whether this node takes new callers.
+    void start(const duty_lease& lease, readiness is_ready);
+    /// Tells the others at once that this node takes no new callers.
+    void announce_leaving();
+
+    void record_written(const std::string& key, const std::string& value) override;
+    void record_removed(const std::string& key, bool after_gap) override;
+
+    void caught_up(monotonic_time /*as_of*/) override {}
+
+    [[nodiscard]] bool other_holder_heard() const override;
+    [[nodiscard]] std::size_t rank() const override;
+
+    /// The topic of the nodes' records.
+    static store_topic topic() { return {"entry-nodes", true}; }
+
+private:
+    void register_node();
+    void tick();
+    void send_digest();
+    void receive(const std::string& bytes);
+
+    record_store& store;
+    datagram_transport& datagrams;
+    scheduler& time;
+    event_log& log;
+    node_identity identity;
+    fleet_view& fleet;
+    load_model& loads;
+    fleet_quota& quotas;
+    retry_budget& retries;
+    usage_board& usage;
+    const duty_lease* lease = nullptr;
+    readiness is_ready;
+    std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with this
+    std::optional<timer_id> timer;
+    std::optional<timer_id> register_timer;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    bool is_leaving = false;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -0,0 +1,107 @@
+#ifndef EELGRASSBEND_SERVING_FORWARD_FLOW_H
+#define EELGRASSBEND_SERVING_FORWARD_FLOW_H
+
+#include "eelgrassbend/endpoints/endpoint_client.h"
+#include "eelgrassbend/placement/placer.h"
+#include "eelgrassbend/routes/route_table.h"
+#include "eelgrassbend/serving/exchange.h"
+#include "eelgrassbend/serving/forward_protocol.h"
+#include "eelgrassbend/serving/forward_services.h"
+#include "eelgrassbend/serving/sse.h"
+#include "eelgrassbend/support/scheduler.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace eelgrassbend {
+
+/// A request that is allowed: its route, its organisation and what its headers say.
+struct forwarded_request {
+    std::shared_ptr<const route_table> table;
+    const route* chosen = nullptr;           ///< within `table`
+    const routed_service* service = nullptr; ///< within `table`; null if not declared
+    service_id target;
+    std::optional<organisation_id> caller;
+    int priority = 0;
+    double units = 0.0; ///< charged to the quota
+    forward_request facts;
+    http_request http;
+    std::shared_ptr<exchange> answer;
+    monotonic_time received;
+};
+
+/// Carries one request to an endpoint and the endpoint's own answer back, byte for byte. What may
+/// be repeated goes to another endpoint when one fails; a stream goes on after the last event
+/// that the caller got.
+class forward_flow : public std::enable_shared_from_this<forward_flow>, public attempt_observer {
+public:
+    using ended_handler = std::function<void(forward_flow&)>;
+
+    forward_flow(const forward_services& services, forwarded_request request,
+                 ended_handler on_ended);
+    ~forward_flow() override;
+
+    void begin();
+
+    void head(int status, const header_list& headers) override;
+    void body(std::string_view bytes) override;
+    void completed() override;
+    void failed(const error& reason, dispatch_state dispatched) override;
+
+private:
+    [[nodiscard]] bool is_stream() const;
+    [[nodiscard]] monotonic_time final_time() const;
+    [[nodiscard]] bool may_go_elsewhere() const;
+    void place();
+    void wait_for_room(const placement_answer& answer);
+    void dispatch(const placement& where);
+    [[nodiscard]] endpoint_request make_attempt(const placement& where) const;
+    void arm_patience(const placement& where);
+    void out_of_patience();
+    void log_placement(const placement& where) const;
+    void answer_began();
+    void pass_events(std::string_view bytes);
+    void start_stream();
+    void attempt_refused();
+    void attempt_broke(const error& reason);
+    void end_attempt(attempt_result how);
+    void go_elsewhere();
+    void time_passed();
+    void caller_gone();
+    /// Answers that the request did not run and will not.
+    void refuse_not_run(error reason, std::optional<duration> retry_after);
+    /// Answers that it may have run, or breaks off an answer that has begun.
+    void give_up(int status, const error& reason);
+    void deliver();
+    void count_usage();
+    void close(const char* outcome);
+    void cancel_timer(std::optional<timer_id>& timer);
+
+    const forward_services& services;
+    forwarded_request request;
+    ended_handler on_ended;
+    std::unique_ptr<attempt_handle> handle;
+    load_model::attempt_number attempt = 0;
+    std::set<endpoint_id> excluded;
+    placement where;
+    std::optional<forward_answer> answer; ///< of the current attempt
+    std::string answer_body;
+    sse_splitter events;
+    std::string last_event; ///< that the caller got
+    std::optional<timer_id> final_timer;
+    std::optional<timer_id> place_timer;
+    std::optional<timer_id> patience_timer;
+    std::optional<monotonic_time> waiting_since;
+    int endpoints_tried = 0;
+    bool may_have_run = false;
+    bool usage_counted = false;
+    bool stream_started = false;
+    bool open = true;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/serving/forward_services.h
@@ -0,0 +1,63 @@
+#ifndef EELGRASSBEND_SERVING_FORWARD_SERVICES_H
+#define EELGRASSBEND_SERVING_FORWARD_SERVICES_H
+
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+namespace eelgrassbend {
+
+class endpoint_client;
+class endpoint_table;
+class event_log;
+class fleet_quota;
+class forward_protocol;
+class load_model;
+class metrics;
+class placer;
+class prompt_cache;
+class random_source;
+class retry_budget;
+class scheduler;
+class usage_board;
+
+struct forward_settings {
+    node_id node;
+    /// A configuration that was not confirmed for so long may miss the removal of a key. Below
+    /// the bound for removals, less the time of a request on its way here.
+    duration configuration_staleness = std::chrono::milliseconds{4300};
+    /// Part of a request's goal for which it may wait here for an endpoint with room; callers
+    /// lose nothing by a refusal that comes that early.
+    double hold_part = 0.12;
+    /// Between two looks for an endpoint with room.
+    duration placement_pause = std::chrono::milliseconds{15};
+    /// Least and most time that a refused caller is told to stay away.
+    duration least_retry_after = std::chrono::milliseconds{100};
+    duration most_retry_after = std::chrono::seconds{2};
+    /// Time for which a request that may be repeated waits for its first byte before it goes
+    /// elsewhere: a multiple of the prediction, within these bounds.
+    double patience = 5.0;
+    duration least_patience = std::chrono::milliseconds{150};
+    duration most_patience = std::chrono::milliseconds{1500};
+};
+
+/// What the forwarding flows need; all outlive them.
+struct forward_services {
+    const forward_settings& settings;
+    scheduler& time;
+    random_source& random;
+    event_log& log;
+    metrics& counters;
+    const forward_protocol& protocol;
+    endpoint_client& client;
+    endpoint_table& endpoints;
+    load_model& loads;
+    prompt_cache& cache;
+    placer& places;
+    fleet_quota& quotas;
+    retry_budget& retries;
+    usage_board& usage;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/include/eelgrassbend/settings/gateway_settings.h
@@ -0,0 +1,51 @@
+#ifndef EELGRASSBEND_SETTINGS_GATEWAY_SETTINGS_H
+#define EELGRASSBEND_SETTINGS_GATEWAY_SETTINGS_H
+
+#include "eelgrassbend/limits/retry_budget.h"
+#include "eelgrassbend/platform/host_list.h"
+#include "eelgrassbend/support/error.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <optional>
+#include <string>
+
+namespace eelgrassbend {
+
+/// Bounds that the deployment promises, as times within which something must be done.
+struct gateway_bounds {
+    duration removed_key = std::chrono::seconds{5}; ///< until a removed key admits nothing
+    duration draining = std::chrono::seconds{2};    ///< until a leaving endpoint gets nothing new
+    duration stop = std::chrono::seconds{8};        ///< from SIGTERM to the end of the process
+    retry_bounds retries{0.2, 50.0};
+    duration usage_window = std::chrono::seconds{5};
+    duration usage_due = std::chrono::seconds{10}; ///< after the end of a window
+    duration lease = std::chrono::seconds{3};
+    duration directory_time_to_live = std::chrono::seconds{5}; ///< at most
+};
+
+/// The settings of one gateway process.
+struct gateway_settings {
+    node_id node;
+    region_name region;
+    availability_zone zone;
+    network_address callers;
+    network_address ready;
+    network_address directory;
+    network_address datagrams;
+    network_address metrics;
+    network_address store;
+    std::optional<network_address> cloud; ///< without one there are no duties
+    std::size_t connections = 2048;       ///< of callers
+    std::string log_level = "info";       ///< "debug", "info", "warning" or "error"
+    gateway_bounds bounds;
+};
+
+/// Errors name file, line, key and what is allowed.
+result<gateway_settings> read_gateway_settings(const std::string& file);
+/// The same from a text; `file` is for messages.
+result<gateway_settings> parse_gateway_settings(const std::string& text, const std::string& file);
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/gateway/declaration_observers.cpp
@@ -0,0 +1,83 @@
+#include "declaration_observers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace eelgrassbend {
+
+configuration_observer::configuration_observer(const declarations& declared, event_log& log,
+                                               table_handler on_table,
+                                               confirmed_handler on_confirmed)
+    : declared(declared),
+      log(log),
+      on_table(std::move(on_table)),
+      on_confirmed(std::move(on_confirmed))
+{
+}
+
+void configuration_observer::record_written(const std::string& key, const std::string& value)
+{
+    if (!this->declared.is_configuration(key)) {
+        return;
+    }
+    auto read = this->declared.read_configuration(value);
+    if (!read) {
+        this->log.write(log_level::error, "configuration_invalid",
+                        {{"error", read.error().to_string()}});
+        return;
+    }
+    const auto version = read.value().version;
+    if (this->in_force && version <= *this->in_force) {
+        return;
+    }
+    this->in_force = version;
+    this->log.write(log_level::info, "configuration_in_force",
+                    {{"version", version.value()},
+                     {"routes", read.value().routes.size()},
+                     {"organisations", read.value().organisations.size()}});
+    this->on_table(std::make_shared<const route_table>(std::move(read.value())));
+}
+
+void configuration_observer::record_removed(const std::string& key, bool /*after_gap*/)
+{
+    this->log.write(log_level::warning, "configuration_record_removed", {{"key", key}});
+}
+
+void configuration_observer::caught_up(monotonic_time as_of)
+{
+    if (this->in_force) {
+        this->on_confirmed(as_of);
+    }
+}
+
+endpoint_observer::endpoint_observer(const declarations& declared, event_log& log,
+                                     const scheduler& time, endpoint_table& endpoints)
+    : declared(declared), log(log), time(time), endpoints(endpoints)
+{
+}
+
+void endpoint_observer::record_written(const std::string& key, const std::string& value)
+{
+    const auto now = this->time.now();
+    const auto read = this->declared.read_endpoint(key, value);
+    if (read) {
+        this->endpoints.put(read.value(), now);
+        return;
+    }
+    this->log.write(log_level::warning, "endpoint_record_invalid",
+                    {{"error", read.error().to_string()}});
+    this->endpoints.remove(endpoint_id{key}, now, false);
+}
+
+void endpoint_observer::record_removed(const std::string& key, bool after_gap)
+{
+    this->endpoints.remove(endpoint_id{key}, this->time.now(), after_gap);
+}
+
+void endpoint_observer::caught_up(monotonic_time /*as_of*/)
+{
+    this->endpoints.expire(this->time.now());
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/gateway/declaration_observers.h
@@ -0,0 +1,55 @@
+#ifndef EELGRASSBEND_LIB_GATEWAY_DECLARATION_OBSERVERS_H
+#define EELGRASSBEND_LIB_GATEWAY_DECLARATION_OBSERVERS_H
+
+#include "eelgrassbend/gateway/declarations.h"
+#include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/routes/route_table.h"
+#include "eelgrassbend/store/keyed_follower.h"
+
+#include <functional>
+#include <memory>
+
+namespace eelgrassbend {
+
+/// Takes the configurations that operators write; older versions than the one in force are
+/// ignored, so that a node never goes back.
+class configuration_observer : public keyed_observer {
+public:
+    using table_handler = std::function<void(std::shared_ptr<const route_table>)>;
+    using confirmed_handler = std::function<void(monotonic_time)>;
+
+    configuration_observer(const declarations& declared, event_log& log, table_handler on_table,
+                           confirmed_handler on_confirmed);
+
+    void record_written(const std::string& key, const std::string& value) override;
+    void record_removed(const std::string& key, bool after_gap) override;
+    void caught_up(monotonic_time as_of) override;
+
+private:
+    const declarations& declared;
+    event_log& log;
+    table_handler on_table;
+    confirmed_handler on_confirmed;
+    std::optional<configuration_version> in_force;
+};
+
+/// Takes the records of endpoints. A record that cannot be read names no endpoint to use.
+class endpoint_observer : public keyed_observer {
+public:
+    endpoint_observer(const declarations& declared, event_log& log, const scheduler& time,
+                      endpoint_table& endpoints);
+
+    void record_written(const std::string& key, const std::string& value) override;
+    void record_removed(const std::string& key, bool after_gap) override;
+    void caught_up(monotonic_time as_of) override;
+
+private:
+    const declarations& declared;
+    event_log& log;
+    const scheduler& time;
+    endpoint_table& endpoints;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- /dev/null
+++ b/lib/gateway/gateway.cpp
@@ -0,0 +1,234 @@
+#include "eelgrassbend/gateway/gateway.h"
+
+#include "eelgrassbend/placement/placer.h"
+#include "eelgrassbend/placement/prompt_cache.h"
+
+#include "declaration_observers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+
+/// A confirmation is as old as the call that brought it, and a request takes a while to get here.
+static constexpr milliseconds removed_key_margin{700};
+/// Reads of the operators' topic come back at least so often, to confirm the configuration.
+static constexpr milliseconds configuration_wait{1200};
+/// Endpoints write their records about once a second each; reads gather them.
+static constexpr milliseconds endpoint_pause{600};
+static constexpr milliseconds endpoint_wait{2000};
+/// Records of entry nodes change only when nodes come and go.
+static constexpr std::chrono::seconds node_wait{20};
+/// Part of the bound for leaving endpoints for which an endpoint counts whose record was lost in
+/// a store outage.
+static constexpr double missing_part = 0.6;
+/// Callers ask again after this time, some of them after three times as long.
+static constexpr std::chrono::seconds directory_time{2};
+/// KV cache of an engine until a configuration tells it.
+static constexpr std::int64_t assumed_memory = 500'000;
+
+static forward_settings forwarding(const gateway_settings& settings)
+{
+    forward_settings derived;
+    derived.node = settings.node;
+    derived.configuration_staleness = std::max<duration>(
+        settings.bounds.removed_key - removed_key_margin, settings.bounds.removed_key / 2);
+    return derived;
+}
+
+static duration missing_time(const gateway_settings& settings)
+{
+    return std::chrono::duration_cast<duration>(missing_part * settings.bounds.draining);
+}
+
+static duty_lease_settings lease_settings(const gateway_settings& settings)
+{
+    duty_lease_settings derived;
+    derived.node = settings.node;
+    derived.length = settings.bounds.lease;
+    return derived;
+}
+
+static usage_reporter_settings usage_settings(const gateway_settings& settings)
+{
+    usage_reporter_settings derived;
+    derived.due = settings.bounds.usage_due;
+    return derived;
+}
+
+static follower_settings follow(duration wait, duration pause)
+{
+    follower_settings derived;
+    derived.longest_wait = wait;
+    derived.pause = pause;
+    return derived;
+}
+
+struct gateway::parts {
+    parts(const gateway_needs& needs, const gateway_settings& node_settings);
+
+    void take_table(std::shared_ptr<const route_table> table);
+    void endpoint_changed(const endpoint_record& record, bool is_gone);
+
+    gateway_needs needs;
+    gateway_settings settings;
+    forward_settings forward;
+    endpoint_table endpoints;
+    load_model loads;
+    prompt_cache cache;
+    placer places;
+    fleet_quota quotas;
+    retry_budget retries;
+    usage_board usage;
+    fleet_view fleet;
+    forward_services services;
+    forward_front front;
+    node_presence presence;
+    duty_lease lease;
+    usage_reporter reporter;
+    scaler scaling;
+    configuration_observer configurations;
+    endpoint_observer endpoint_records;
+    keyed_follower operators;
+    keyed_follower endpoint_follower;
+    keyed_follower nodes;
+    table_observer on_table;
+    bool is_stopping = false;
+};
+
+gateway::parts::parts(const gateway_needs& outside, const gateway_settings& node_settings)
+    : needs(outside),
+      settings(node_settings),
+      forward(forwarding(node_settings)),
+      endpoints(missing_time(node_settings)),
+      cache(assumed_memory),
+      places(endpoints, loads, cache, needs.random, node_settings.zone),
+      retries(node_settings.bounds.retries),
+      usage(node_settings.bounds.usage_window),
+      fleet(node_settings.node),
+      services{forward,        needs.time,   needs.random, needs.log, needs.counters,
+               needs.protocol, needs.client, endpoints,    loads,     cache,
+               places,         quotas,       retries,      usage},
+      front(services),
+      presence(
+          needs.store, needs.datagrams, needs.time, needs.log,
+          {node_settings.node, node_settings.zone, node_settings.callers, node_settings.datagrams},
+          fleet, loads, quotas, retries, usage),
+      lease(needs.store, needs.time, needs.log, presence, lease_settings(node_settings)),
+      reporter(needs.store, needs.time, needs.log, lease, usage, needs.duties,
+               usage_settings(node_settings)),
+      scaling(needs.time, needs.log, lease, endpoints, loads, needs.duties),
+      configurations(
+          needs.declared, needs.log,
+          [this](std::shared_ptr<const route_table> table) { this->take_table(std::move(table)); },
+          [this](monotonic_time as_of) { this->front.configuration_confirmed(as_of); }),
+      endpoint_records(needs.declared, needs.log, needs.time, endpoints),
+      operators(needs.store, needs.time, needs.random, needs.log, needs.declared.operators(),
+                follow(configuration_wait, {}), configurations),
+      endpoint_follower(needs.store, needs.time, needs.random, needs.log,
+                        needs.declared.endpoints(), follow(endpoint_wait, endpoint_pause),
+                        endpoint_records),
+      nodes(needs.store, needs.time, needs.random, needs.log, node_presence::topic(),
+            follow(node_wait, {}), presence)
+{
+}
+
+void gateway::parts::take_table(std::shared_ptr<const route_table> table)
+{
+    this->front.set_table(table);
+    this->scaling.set_table(table);
+    if (this->on_table) {
+        this->on_table(*table);
+    }
+}
+
+void gateway::parts::endpoint_changed(const endpoint_record& record, bool is_gone)
+{
+    this->needs.log.write(log_level::info, "endpoint_changed",
+                          {{"endpoint", record.id.value()},
+                           {"service", record.service.value()},
+                           {"zone", record.zone.value()},
+                           {"state", is_gone              ? "gone"
+                                     : record.is_draining ? "draining"
+                                                          : "ready"},
+                           {"reclaimable", record.is_reclaimable}});
+    if (!record.is_draining || is_gone) {
+        this->loads.forget(record.id);
+        this->cache.forget(record.id);
+    }
+}
+
+gateway::gateway(const gateway_needs& needs, const gateway_settings& settings)
+    : held(std::make_unique<parts>(needs, settings))
+{
+    this->held->endpoints.on_change([this](const endpoint_record& record, bool is_gone) {
+        this->held->endpoint_changed(record, is_gone);
+    });
+}
+
+gateway::~gateway() = default;
+
+void gateway::start()
+{
+    this->held->operators.start();
+    this->held->endpoint_follower.start();
+    this->held->nodes.start();
+    this->held->presence.start(this->held->lease, [this] { return this->is_ready(); });
+    if (this->held->settings.cloud) {
+        this->held->lease.start();
+        this->held->reporter.start();
+        this->held->scaling.start();
+    }
+}
+
+void gateway::on_table(table_observer handler)
+{
+    this->held->on_table = std::move(handler);
+}
+
+void gateway::begin_stop()
+{
+    this->held->is_stopping = true;
+    this->held->lease.resign();
+    this->held->presence.announce_leaving();
+}
+
+void gateway::stop_taking()
+{
+    this->held->front.stop_taking();
+}
+
+bool gateway::is_ready() const
+{
+    return !this->held->is_stopping && this->held->front.is_ready();
+}
+
+std::vector<network_address> gateway::callers() const
+{
+    auto addresses = this->held->fleet.ready_callers(this->held->needs.time.now());
+    if (this->is_ready() || addresses.empty()) {
+        addresses.push_back(this->held->settings.callers);
+    }
+    return addresses;
+}
+
+duration gateway::directory_time_to_live() const
+{
+    return std::min<duration>(directory_time, this->held->settings.bounds.directory_time_to_live);
+}
+
+http_handler& gateway::door()
+{
+    return this->held->front;
+}
+
+std::size_t gateway::active() const
+{
+    return this->held->front.active();
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/lib/gateway/node_presence.cpp
@@ -0,0 +1,176 @@
+#include "eelgrassbend/gateway/node_presence.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace eelgrassbend {
+
+/// Time between two digests; a node that is silent for several is taken out of the directory.
+static constexpr std::chrono::milliseconds digest_interval_time{250};
+/// Each so many digests goes to silent nodes too, so that they are heard when they come back.
+static constexpr std::uint64_t silent_every = 4;
+/// Pause before the node's record is written again after a failure.
+static constexpr std::chrono::milliseconds register_pause{500};
+
+node_presence::node_presence(record_store& store, datagram_transport& datagrams, scheduler& time,
+                             event_log& log, node_identity identity, fleet_view& fleet,
+                             load_model& loads, fleet_quota& quotas, retry_budget& retries,
+                             usage_board& usage)
+    : store(store),
+      datagrams(datagrams),
+      time(time),
+      log(log),
+      identity(std::move(identity)),
+      fleet(fleet),
+      loads(loads),
+      quotas(quotas),
+      retries(retries),
+      usage(usage)
+{
+    this->incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(time.wall_now().time_since_epoch())
+            .count());
+}
+
+node_presence::~node_presence()
+{
+    this->datagrams.set_receiver(nullptr);
+    for (auto& pending : {this->timer, this->register_timer}) {
+        if (pending) {
+            this->time.cancel(*pending);
+        }
+    }
+}
+
+void node_presence::start(const duty_lease& holder, readiness ready)
+{
+    this->lease = &holder;
+    this->is_ready = std::move(ready);
+    this->datagrams.set_receiver(
+        [this](const network_address&, const std::string& bytes) { this->receive(bytes); });
+    this->register_node();
+    this->tick();
+}
+
+void node_presence::register_node()
+{
+    const nlohmann::json record{{"ip", this->identity.datagrams.ip},
+                                {"port", this->identity.datagrams.port}};
+    this->store.append(
+        topic(), {{log_offset{}, this->identity.node.value(), record.dump()}}, std::nullopt,
+        [this, weak = std::weak_ptr<int>(this->alive)](const result<append_answer>& answer) {
+            if (weak.expired() || answer) {
+                return;
+            }
+            this->log.write(log_level::warning, "register_failed",
+                            {{"error", answer.error().to_string()}});
+            this->register_timer =
+                this->time.call_after(register_pause, [this] { this->register_node(); });
+        });
+}
+
+void node_presence::record_written(const std::string& key, const std::string& value)
+{
+    const auto parsed = nlohmann::json::parse(value, nullptr, false);
+    const bool is_valid = parsed.is_object() && parsed.contains("ip") && parsed.contains("port") &&
+                          parsed["ip"].is_string() && parsed["port"].is_number_unsigned();
+    if (!is_valid) {
+        this->log.write(log_level::warning, "node_record_invalid", {{"node", key}});
+        return;
+    }
+    this->fleet.add_record(
+        {node_id{key}, {parsed["ip"].get<std::string>(), parsed["port"].get<std::uint16_t>()}});
+}
+
+void node_presence::record_removed(const std::string& key, bool /*after_gap*/)
+{
+    this->fleet.remove_record(node_id{key});
+}
+
+void node_presence::announce_leaving()
+{
+    this->is_leaving = true;
+    this->send_digest();
+    this->store.append(topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}},
+                       std::nullopt, [](const result<append_answer>&) {
+                           // The record of a node that is gone does no harm: it is silent.
+                       });
+}
+
+void node_presence::tick()
+{
+    this->send_digest();
+    const auto now = this->time.now();
+    this->quotas.set_heard_share(this->fleet.heard_share(now), now);
+    this->retries.set_node_count(this->fleet.alive(now).size() + 1);
+    for (const auto& [node, known] : this->fleet.all()) {
+        if (now - known.heard >= node_silence) {
+            this->loads.forget_peer(node);
+        }
+    }
+    this->timer = this->time.call_after(digest_interval_time, [this] { this->tick(); });
+}
+
+void node_presence::send_digest()
+{
+    node_digest digest;
+    digest.node = this->identity.node;
+    digest.incarnation = this->incarnation;
+    digest.sequence = ++this->sequence;
+    digest.is_leaving = this->is_leaving;
+    digest.is_ready = !this->is_leaving && this->is_ready();
+    digest.callers = this->identity.callers;
+    digest.datagrams = this->identity.datagrams;
+    digest.zone = this->identity.zone;
+    digest.duty_token = this->lease->token();
+    digest.work = this->loads.own_work();
+    digest.admitted = this->quotas.admitted();
+    digest.usage = this->usage.own();
+    const auto bytes = encode_digest(digest);
+    const bool with_silent = this->is_leaving || this->sequence % silent_every == 1;
+    for (const auto& address : this->fleet.receivers(this->time.now(), with_silent)) {
+        this->datagrams.send(address, bytes);
+    }
+}
+
+void node_presence::receive(const std::string& bytes)
+{
+    const auto digest = decode_digest(bytes);
+    if (!digest) {
+        this->log.write(log_level::warning, "digest_invalid",
+                        {{"error", digest.error().to_string()}});
+        return;
+    }
+    const auto now = this->time.now();
+    const auto& told = digest.value();
+    if (!this->fleet.heard(told, now)) {
+        return;
+    }
+    this->loads.peer_work(told.node, told.work);
+    this->quotas.heard(told.node, told.incarnation, told.admitted, now);
+    this->usage.heard(told.node, told.incarnation, told.usage);
+}
+
+bool node_presence::other_holder_heard() const
+{
+    for (const auto* node : this->fleet.alive(this->time.now())) {
+        if (node->digest.duty_token) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::size_t node_presence::rank() const
+{
+    std::size_t before = 0;
+    for (const auto* node : this->fleet.alive(this->time.now())) {
+        if (!node->digest.is_leaving && node->digest.node < this->identity.node) {
+            ++before;
+        }
+    }
+    return before;
+}
+
+} // namespace eelgrassbend
--- a/lib/settings/entry_settings.cpp
+++ b/lib/settings/entry_settings.cpp
@@ -1,11 +1,6 @@
 #include "eelgrassbend/settings/entry_settings.h"
 
-#include "eelgrassbend/settings/toml_reader.h"
-
-#include <boost/asio/ip/address.hpp>
-
-#include <fstream>
-#include <sstream>
+#include "setting_values.h"
 
 namespace eelgrassbend {
 
@@ -16,41 +11,6 @@
 static constexpr std::size_t shortest_secret_bytes = 16;
 static constexpr std::size_t public_key_digits = 64;
 
-static network_address read_address(toml_reader& table, const std::string& key)
-{
-    constexpr long highest_port = 65'535;
-    const auto text = table.text(key);
-    const auto colon = text.rfind(':');
-    const char* allowed = "must be an IP number and a port, such as 127.0.0.1:8080";
-    if (colon == std::string::npos) {
-        table.reject(key, allowed);
-        return {};
-    }
-    const auto ip = text.substr(0, colon);
-    const auto port = text.substr(colon + 1);
-    boost::system::error_code failure;
-    boost::asio::ip::make_address(ip, failure);
-    const bool digits = !port.empty() && port.size() <= 5 &&
-                        port.find_first_not_of("0123456789") == std::string::npos;
-    if (failure || !digits || std::stol(port) > highest_port) {
-        table.reject(key, allowed);
-        return {};
-    }
-    return {ip, static_cast<std::uint16_t>(std::stol(port))};
-}
-
-static std::string read_name(toml_reader& table, const std::string& key)
-{
-    auto name = table.text(key);
-    constexpr std::size_t longest = 64;
-    const auto allowed = "abcdefghijklmnopqrstuvwxyz0123456789-";
-    if (name.empty() || name.size() > longest ||
-        name.find_first_not_of(allowed) != std::string::npos) {
-        table.reject(key, "must be 1 to 64 lower-case letters, digits and hyphens");
-    }
-    return name;
-}
-
 static std::vector<operator_key> read_operators(toml_reader& trust)
 {
     std::vector<operator_key> operators;
@@ -149,13 +109,11 @@
 
 result<entry_settings> read_entry_settings(const std::string& file)
 {
-    std::ifstream stream{file, std::ios::binary};
-    if (!stream) {
-        return make_error(errc::not_found, "read settings", file, "the file cannot be opened");
+    const auto text = read_settings_file(file);
+    if (!text) {
+        return text.error();
     }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return parse_entry_settings(text.str(), file);
+    return parse_entry_settings(text.value(), file);
 }
 
 } // namespace eelgrassbend
--- /dev/null
+++ b/lib/settings/gateway_settings.cpp
@@ -0,0 +1,93 @@
+#include "eelgrassbend/settings/gateway_settings.h"
+
+#include "setting_values.h"
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+static duration read_seconds(toml_reader& table, const std::string& key, double least, double most,
+                             duration otherwise)
+{
+    const std::chrono::duration<double> fallback{otherwise};
+    const std::chrono::duration<double> value{table.number(key, least, most, fallback.count())};
+    return std::chrono::duration_cast<duration>(value);
+}
+
+static void read_listen(toml_reader& root, gateway_settings& settings)
+{
+    auto listen = root.table("listen");
+    settings.callers = read_address(listen, "callers");
+    settings.ready = read_address(listen, "ready");
+    settings.directory = read_address(listen, "directory");
+    settings.datagrams = read_address(listen, "datagrams");
+    settings.metrics = read_address(listen, "metrics");
+    listen.expect_no_more();
+    auto store = root.table("store");
+    settings.store = read_address(store, "address");
+    store.expect_no_more();
+    auto cloud = root.table("cloud", false);
+    if (!cloud.text("address", "").empty()) {
+        settings.cloud = read_address(cloud, "address");
+    }
+    cloud.expect_no_more();
+}
+
+static gateway_bounds read_bounds(toml_reader& root)
+{
+    constexpr double most_slack = 1'000'000.0;
+    gateway_bounds bounds;
+    auto table = root.table("bounds", false);
+    bounds.removed_key =
+        table.milliseconds("removed_key_ms", milliseconds{100}, minutes{10}, bounds.removed_key);
+    bounds.draining =
+        table.milliseconds("draining_ms", milliseconds{100}, minutes{10}, bounds.draining);
+    bounds.lease = table.milliseconds("lease_ms", milliseconds{200}, minutes{10}, bounds.lease);
+    bounds.stop = read_seconds(table, "stop_s", 0.5, 3600.0, bounds.stop);
+    bounds.usage_window = read_seconds(table, "usage_window_s", 0.1, 3600.0, bounds.usage_window);
+    bounds.usage_due = read_seconds(table, "usage_due_s", 0.1, 3600.0, bounds.usage_due);
+    bounds.directory_time_to_live =
+        read_seconds(table, "directory_time_to_live_s", 0.1, 3600.0, bounds.directory_time_to_live);
+    bounds.retries.ratio = table.number("retry_ratio", 0.0, 10.0, bounds.retries.ratio);
+    bounds.retries.slack = table.number("retry_slack", 0.0, most_slack, bounds.retries.slack);
+    table.expect_no_more();
+    return bounds;
+}
+
+result<gateway_settings> parse_gateway_settings(const std::string& text, const std::string& file)
+{
+    constexpr std::int64_t most_connections = 100'000;
+    auto parsed = toml_reader::parse(text, file);
+    if (!parsed) {
+        return parsed.error();
+    }
+    auto& root = parsed.value();
+    gateway_settings settings;
+    settings.node = node_id{read_name(root, "name")};
+    settings.region = region_name{read_name(root, "region")};
+    settings.zone = availability_zone{read_name(root, "zone")};
+    settings.log_level =
+        root.one_of("log_level", {"debug", "info", "warning", "error"}, settings.log_level);
+    settings.connections = static_cast<std::size_t>(root.integer(
+        "connections", 1, most_connections, static_cast<std::int64_t>(settings.connections)));
+    read_listen(root, settings);
+    settings.bounds = read_bounds(root);
+    root.expect_no_more();
+    if (auto status = root.status(); !status) {
+        return status.error();
+    }
+    return settings;
+}
+
+result<gateway_settings> read_gateway_settings(const std::string& file)
+{
+    const auto text = read_settings_file(file);
+    if (!text) {
+        return text.error();
+    }
+    return parse_gateway_settings(text.value(), file);
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/tools/eelgrassbend-gateway/gateway_daemon.cpp
@@ -0,0 +1,283 @@
+#include "gateway_daemon.h"
+
+#include "eelgrassbend/gateway/gateway.h"
+#include "eelgrassbend/kernel/kernel.h"
+#include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/metrics/prometheus_metrics.h"
+#include "eelgrassbend/net/http_server.h"
+#include "eelgrassbend/support/scheduler.h"
+
+#include "gateway_services.h"
+#include "platform/doors.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+
+namespace eelgrassbend {
+
+namespace asio = boost::asio;
+
+/// Part of the stop time for which requests are still taken: callers keep answers of the
+/// directory, and what they send last has to be answered within the rest.
+static constexpr double taking_part = 0.36;
+/// Part of the stop time at whose end the process leaves whatever is under way.
+static constexpr double serving_part = 0.95;
+static constexpr std::chrono::milliseconds stop_poll{20};
+/// Connections of the directory, readiness check and metrics.
+static constexpr std::size_t side_connections = 256;
+
+namespace {
+
+/// Answers the text of all metrics.
+class metrics_door : public http_handler {
+public:
+    explicit metrics_door(const prometheus_metrics& counters) : counters(counters) {}
+
+    void handle(http_request request, std::shared_ptr<exchange> answer) override
+    {
+        if (request.path() != "/metrics") {
+            answer->respond(404, {}, {}, nullptr);
+            return;
+        }
+        answer->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->counters.text(),
+                        nullptr);
+    }
+
+private:
+    const prometheus_metrics& counters;
+};
+
+/// What the daemon itself uses of the services.
+class daemon_service : public service {
+public:
+    explicit daemon_service(const resolved_services& needs)
+        : time(needs.get<scheduler>("scheduler")),
+          log(needs.get<event_log>("event_log")),
+          counters(needs.get<prometheus_metrics>("metrics")),
+          node(needs.get<gateway>("gateway"))
+    {
+    }
+
+    scheduler& time;
+    event_log& log;
+    prometheus_metrics& counters;
+    gateway& node;
+};
+
+class gateway_daemon : public door_status {
+public:
+    gateway_daemon(const gateway_settings& settings, const std::string& settings_file)
+        : settings(settings),
+          settings_file(settings_file),
+          signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    int run();
+
+    [[nodiscard]] bool is_ready() const override { return this->parts->node.is_ready(); }
+
+    [[nodiscard]] directory_answer directory() const override
+    {
+        return {this->parts->node.callers(), this->parts->node.directory_time_to_live()};
+    }
+
+private:
+    struct listener {
+        std::unique_ptr<http_handler> door;
+        std::unique_ptr<http_server> server;
+    };
+
+    result<void> start();
+    result<void> listen_for_callers();
+    result<void> listen_beside(const network_address& address, std::unique_ptr<http_handler> door);
+    void apply_limits(const route_table& table);
+    void await_signal();
+    void reload();
+    void planned_stop();
+    void stop_taking();
+    void wait_for_requests(monotonic_time until);
+
+    gateway_settings settings;
+    std::string settings_file;
+    asio::io_context context{1};
+    asio::signal_set signals;
+    kernel core;
+    std::shared_ptr<daemon_service> parts;
+    std::unique_ptr<http_server> server;
+    std::vector<listener> beside;
+    bool is_stopping = false;
+};
+
+} // namespace
+
+result<void> gateway_daemon::start()
+{
+    if (auto added = add_gateway_services(this->core, this->context, this->settings); !added) {
+        return added.error();
+    }
+    auto added = this->core.add("daemon", {"scheduler", "event_log", "metrics", "gateway"},
+                                [this](const resolved_services& needs) {
+                                    this->parts = std::make_shared<daemon_service>(needs);
+                                    return this->parts;
+                                });
+    if (!added) {
+        return added.error();
+    }
+    if (auto started = this->core.start(); !started) {
+        return started.error();
+    }
+    if (auto listening = this->listen_for_callers(); !listening) {
+        return listening.error();
+    }
+    std::vector<std::pair<network_address, std::unique_ptr<http_handler>>> doors;
+    doors.emplace_back(this->settings.ready, std::make_unique<ready_door>(*this));
+    doors.emplace_back(this->settings.directory, std::make_unique<directory_door>(*this));
+    doors.emplace_back(this->settings.metrics,
+                       std::make_unique<metrics_door>(this->parts->counters));
+    for (auto& [address, door] : doors) {
+        if (auto listening = this->listen_beside(address, std::move(door)); !listening) {
+            return listening.error();
+        }
+    }
+    this->parts->node.start();
+    this->parts->log.write(
+        log_level::info, "started",
+        {{"callers", this->settings.callers.to_string()}, {"zone", this->settings.zone.value()}});
+    return boost::outcome_v2::success();
+}
+
+result<void> gateway_daemon::listen_for_callers()
+{
+    http_limits limits;
+    limits.connections = this->settings.connections;
+    this->server = std::make_unique<http_server>(this->context, limits, this->parts->node.door());
+    this->parts->node.on_table([this](const route_table& table) { this->apply_limits(table); });
+    if (auto listening = this->server->listen(this->settings.callers); !listening) {
+        return listening.error();
+    }
+    return boost::outcome_v2::success();
+}
+
+result<void> gateway_daemon::listen_beside(const network_address& address,
+                                           std::unique_ptr<http_handler> door)
+{
+    http_limits limits;
+    limits.connections = side_connections;
+    auto server = std::make_unique<http_server>(this->context, limits, *door);
+    if (auto listening = server->listen(address); !listening) {
+        return listening.error();
+    }
+    this->beside.push_back({std::move(door), std::move(server)});
+    return boost::outcome_v2::success();
+}
+
+void gateway_daemon::apply_limits(const route_table& table)
+{
+    const auto& declared = table.configuration().limits;
+    http_limits limits;
+    limits.connections = this->settings.connections;
+    if (declared.header_bytes > 0) {
+        limits.header_bytes = declared.header_bytes;
+    }
+    if (declared.body_bytes > 0) {
+        limits.body_bytes = declared.body_bytes;
+    }
+    if (declared.idle_time > duration::zero()) {
+        limits.idle_time = declared.idle_time;
+    }
+    this->server->set_limits(limits);
+}
+
+void gateway_daemon::await_signal()
+{
+    this->signals.async_wait([this](boost::system::error_code failure, int signal) {
+        if (failure) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            this->reload();
+        }
+        else if (!this->is_stopping) {
+            this->planned_stop();
+        }
+        this->await_signal();
+    });
+}
+
+void gateway_daemon::reload()
+{
+    const auto changed = read_gateway_settings(this->settings_file);
+    if (!changed) {
+        this->parts->log.write(log_level::error, "reload_failed",
+                               {{"error", changed.error().to_string()}});
+        return;
+    }
+    this->settings.bounds.stop = changed.value().bounds.stop;
+    this->parts->log.write(log_level::info, "reloaded", {{"file", this->settings_file}});
+}
+
+void gateway_daemon::planned_stop()
+{
+    this->is_stopping = true;
+    this->parts->log.write(log_level::info, "planned_stop",
+                           {{"requests", this->parts->node.active()}});
+    this->parts->node.begin_stop();
+    this->server->announce_close();
+    const auto begun = this->parts->time.now();
+    const auto share = [this](double part) {
+        return std::chrono::duration_cast<duration>(part * this->settings.bounds.stop);
+    };
+    this->parts->time.call_after(share(taking_part), [this, until = begun + share(serving_part)] {
+        this->stop_taking();
+        this->wait_for_requests(until);
+    });
+}
+
+void gateway_daemon::stop_taking()
+{
+    this->parts->node.stop_taking();
+    this->server->stop_listening();
+    this->server->drain();
+}
+
+void gateway_daemon::wait_for_requests(monotonic_time until)
+{
+    const auto active = this->server->active() + this->parts->node.active();
+    if (active == 0 || this->parts->time.now() >= until) {
+        this->parts->log.write(log_level::info, "stopped", {{"requests_left", active}});
+        this->context.stop();
+        return;
+    }
+    this->parts->time.call_after(stop_poll, [this, until] { this->wait_for_requests(until); });
+}
+
+int gateway_daemon::run()
+{
+    if (auto started = this->start(); !started) {
+        std::cerr << "eelgrassbend-gateway: " << started.error().to_string() << "\n";
+        return 1;
+    }
+    this->await_signal();
+    this->context.run();
+    return 0;
+}
+
+int run_gateway(const gateway_settings& settings, const std::string& settings_file)
+{
+    try {
+        gateway_daemon daemon{settings, settings_file};
+        return daemon.run();
+    }
+    catch (const std::exception& failure) {
+        std::cerr << "eelgrassbend-gateway: " << failure.what() << "\n";
+        return 1;
+    }
+}
+
+} // namespace eelgrassbend
--- /dev/null
+++ b/tools/eelgrassbend-gateway/gateway_services.cpp
@@ -0,0 +1,168 @@
+#include "gateway_services.h"
+
+#include "eelgrassbend/gateway/gateway.h"
+#include "eelgrassbend/kernel/hosted.h"
+#include "eelgrassbend/logging/json_event_log.h"
+#include "eelgrassbend/metrics/prometheus_metrics.h"
+#include "eelgrassbend/net/asio_datagrams.h"
+#include "eelgrassbend/net/asio_endpoint_client.h"
+#include "eelgrassbend/net/asio_http_client.h"
+#include "eelgrassbend/net/asio_scheduler.h"
+#include "eelgrassbend/support/random_source.h"
+
+#include "platform/duty_client.h"
+#include "platform/forward_headers.h"
+#include "platform/platform_declarations.h"
+#include "platform/store_client.h"
+
+#include <random>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// Beyond the time that a read may wait at the store; a silent connection shows by then.
+static constexpr std::chrono::milliseconds store_timeout{900};
+static constexpr std::chrono::milliseconds duty_timeout{2000};
+static constexpr std::chrono::milliseconds connect_timeout{400};
+/// An endpoint sends at most a second answer to a request now and then.
+static constexpr int most_skipped_answers = 4;
+
+static std::uint64_t seed_from_system()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+static endpoint_client_limits endpoint_limits()
+{
+    endpoint_client_limits limits;
+    limits.connect_timeout = connect_timeout;
+    limits.attempt_header = request_id_header();
+    limits.accept_unnamed = true;
+    limits.accept_unframed = true;
+    limits.skipped_answers = most_skipped_answers;
+    limits.probe_target.clear();
+    return limits;
+}
+
+namespace {
+
+class gateway_service : public service, public gateway {
+public:
+    gateway_service(const gateway_needs& needs, const gateway_settings& settings)
+        : gateway(needs, settings)
+    {
+    }
+};
+
+} // namespace
+
+using registration = std::pair<std::string, kernel::factory>;
+
+static std::vector<registration> independent_services(boost::asio::io_context& context,
+                                                      const gateway_settings& settings)
+{
+    return {
+        {"scheduler",
+         [&context](const resolved_services&) {
+             return std::make_shared<hosted<asio_scheduler>>(context);
+         }},
+        {"random",
+         [](const resolved_services&) {
+             return std::make_shared<hosted<seeded_random>>(seed_from_system());
+         }},
+        {"metrics",
+         [](const resolved_services&) { return std::make_shared<hosted<prometheus_metrics>>(); }},
+        {"http_client",
+         [&context](const resolved_services&) {
+             return std::make_shared<hosted<asio_http_client>>(context);
+         }},
+        {"endpoint_client",
+         [&context](const resolved_services&) {
+             return std::make_shared<hosted<asio_endpoint_client>>(context, endpoint_limits());
+         }},
+        {"protocol",
+         [](const resolved_services&) { return std::make_shared<hosted<forward_headers>>(); }},
+        {"declarations",
+         [](const resolved_services&) {
+             return std::make_shared<hosted<platform_declarations>>();
+         }},
+        {"datagrams",
+         [&context, settings](const resolved_services&) {
+             auto datagrams = std::make_shared<hosted<asio_datagrams>>(context);
+             if (auto listening = datagrams->listen(settings.datagrams); !listening) {
+                 throw std::system_error(listening.error().code, listening.error().to_string());
+             }
+             return datagrams;
+         }},
+    };
+}
+
+static log_level level_of(const std::string& name)
+{
+    if (name == "debug") {
+        return log_level::debug;
+    }
+    if (name == "warning") {
+        return log_level::warning;
+    }
+    return name == "error" ? log_level::error : log_level::info;
+}
+
+static std::shared_ptr<service> make_gateway(const resolved_services& needs,
+                                             const gateway_settings& settings)
+{
+    return std::make_shared<gateway_service>(
+        gateway_needs{needs.get<scheduler>("scheduler"), needs.get<random_source>("random"),
+                      needs.get<event_log>("event_log"), needs.get<metrics>("metrics"),
+                      needs.get<record_store>("store"), needs.get<datagram_transport>("datagrams"),
+                      needs.get<endpoint_client>("endpoint_client"),
+                      needs.get<duty_calls>("duty_calls"), needs.get<forward_protocol>("protocol"),
+                      needs.get<declarations>("declarations")},
+        settings);
+}
+
+result<void> add_gateway_services(kernel& core, boost::asio::io_context& context,
+                                  const gateway_settings& settings)
+{
+    for (auto& [name, make] : independent_services(context, settings)) {
+        if (auto added = core.add(name, {}, std::move(make)); !added) {
+            return added.error();
+        }
+    }
+    const std::vector<std::pair<std::vector<std::string>, registration>> dependent{
+        {{"scheduler"},
+         {"event_log",
+          [settings](const resolved_services& needs) {
+              return std::make_shared<hosted<json_event_log>>(
+                  needs.get<scheduler>("scheduler"), settings.node, level_of(settings.log_level));
+          }}},
+        {{"http_client"},
+         {"store",
+          [settings](const resolved_services& needs) {
+              return std::make_shared<hosted<store_client>>(needs.get<http_client>("http_client"),
+                                                            settings.store, store_timeout);
+          }}},
+        {{"http_client"},
+         {"duty_calls",
+          [settings](const resolved_services& needs) {
+              return std::make_shared<hosted<duty_client>>(
+                  needs.get<http_client>("http_client"), settings.cloud.value_or(network_address{}),
+                  settings.node, duty_timeout);
+          }}},
+        {{"scheduler", "random", "event_log", "metrics", "store", "datagrams", "endpoint_client",
+          "duty_calls", "protocol", "declarations"},
+         {"gateway",
+          [settings](const resolved_services& needs) { return make_gateway(needs, settings); }}},
+    };
+    for (const auto& [needs, entry] : dependent) {
+        if (auto added = core.add(entry.first, needs, entry.second); !added) {
+            return added.error();
+        }
+    }
+    return boost::outcome_v2::success();
+}
+
+} // namespace eelgrassbend
