Keep quotas over restarts and between digests

All nodes lost power and started again, each with a full bucket, and a hot tenant was admitted by all of them until the first digests came. Change: a new process begins with an empty bucket, since what ran before it is not known; 85% of a burst is given out; a node that admitted 4% of a burst since its last digest sends the next one within 50 ms in place of 250.

--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -74,6 +74,7 @@
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with this
     std::optional<timer_id> timer;
     std::optional<timer_id> register_timer;
+    monotonic_time next_digest;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool is_leaving = false;
--- a/include/eelgrassbend/limits/fleet_quota.h
+++ b/include/eelgrassbend/limits/fleet_quota.h
@@ -28,6 +28,12 @@
     void heard(const node_id& node, std::uint64_t incarnation,
                const std::map<organisation_id, double>& admitted, monotonic_time now);
 
+    /// Whether so much was admitted since the last digest that the others should hear of it now.
+    [[nodiscard]] bool has_news() const { return this->news; }
+
+    /// A digest with the totals was sent.
+    void told();
+
     /// This node's running totals.
     [[nodiscard]] const std::map<organisation_id, double>& admitted() const { return this->totals; }
 
@@ -44,6 +50,8 @@
     };
 
     double share = 1.0;
+    bool news = false;
+    std::map<organisation_id, double> since_digest;
     std::map<organisation_id, account> accounts;
     std::map<organisation_id, double> totals;
     std::map<node_id, peer_totals> peers;
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -8,6 +8,8 @@
 
 /// Time between two digests; a node that is silent for several is taken out of the directory.
 static constexpr std::chrono::milliseconds digest_interval_time{250};
+/// Least time between two digests where one has news that cannot wait.
+static constexpr std::chrono::milliseconds news_interval_time{50};
 /// Each so many digests goes to silent nodes too, so that they are heard when they come back.
 static constexpr std::uint64_t silent_every = 4;
 /// Pause before the node's record is written again after a failure.
@@ -100,8 +102,13 @@
 
 void node_presence::tick()
 {
-    this->send_digest();
     const auto now = this->time.now();
+    this->timer = this->time.call_after(news_interval_time, [this] { this->tick(); });
+    if (now < this->next_digest && !this->quotas.has_news()) {
+        return;
+    }
+    this->next_digest = now + digest_interval_time;
+    this->send_digest();
     this->quotas.set_heard_share(this->fleet.heard_share(now), now);
     this->retries.set_node_count(this->fleet.alive(now).size() + 1);
     for (const auto& [node, known] : this->fleet.all()) {
@@ -109,7 +116,6 @@
             this->loads.forget_peer(node);
         }
     }
-    this->timer = this->time.call_after(digest_interval_time, [this] { this->tick(); });
 }
 
 void node_presence::send_digest()
@@ -127,6 +133,7 @@
     digest.work = this->loads.own_work();
     digest.admitted = this->quotas.admitted();
     digest.usage = this->usage.own();
+    this->quotas.told();
     const auto bytes = encode_digest(digest);
     const bool with_silent = this->is_leaving || this->sequence % silent_every == 1;
     for (const auto& address : this->fleet.receivers(this->time.now(), with_silent)) {
--- a/lib/limits/fleet_quota.cpp
+++ b/lib/limits/fleet_quota.cpp
@@ -1,7 +1,15 @@
 #include "eelgrassbend/limits/fleet_quota.h"
 
+#include <algorithm>
+
 namespace eelgrassbend {
 
+/// Part of a burst that is given out; the rest covers what other nodes admit before their digests
+/// arrive.
+static constexpr double used_burst = 0.85;
+/// Units of one organisation, as a part of its burst, that the others should hear of at once.
+static constexpr double news_part = 0.04;
+
 void fleet_quota::configure(const std::vector<organisation>& organisations, monotonic_time now)
 {
     std::map<organisation_id, account> kept;
@@ -10,12 +18,17 @@
             continue;
         }
         auto& known = kept[entry.id];
-        if (const auto found = this->accounts.find(entry.id); found != this->accounts.end()) {
+        const auto found = this->accounts.find(entry.id);
+        if (found != this->accounts.end()) {
             known = found->second;
         }
         known.rate = entry.rate;
-        known.burst = entry.burst;
+        known.burst = entry.burst * used_burst;
         known.bucket.configure(now, known.rate * this->share, known.burst);
+        if (found == this->accounts.end()) {
+            // What was admitted before this process started is not known, so it counts as all.
+            known.bucket.take(now, known.burst);
+        }
     }
     this->accounts = std::move(kept);
 }
@@ -43,9 +56,20 @@
         found->second.bucket.take(now, units);
     }
     this->totals[id] += units;
+    if (found != this->accounts.end()) {
+        auto& untold = this->since_digest[id];
+        untold += units;
+        this->news = this->news || untold > news_part * found->second.burst;
+    }
     return std::nullopt;
 }
 
+void fleet_quota::told()
+{
+    this->news = false;
+    this->since_digest.clear();
+}
+
 void fleet_quota::give_back(const organisation_id& id, double units, monotonic_time now)
 {
     if (const auto found = this->accounts.find(id); found != this->accounts.end()) {
--- /dev/null
+++ b/unittests/limits/fleet_quota_test.cpp
@@ -0,0 +1,142 @@
+#include "eelgrassbend/limits/fleet_quota.h"
+
+#include "eelgrassbend/limits/retry_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static const organisation_id lodge{"lodge"};
+
+static std::vector<organisation> with_rate(double rate, double burst)
+{
+    organisation limited;
+    limited.id = lodge;
+    limited.rate = rate;
+    limited.burst = burst;
+    return {limited};
+}
+
+/// Units of `size` that are admitted within `span` when as many as possible are asked for.
+static double admitted_within(fleet_quota& quota, monotonic_time from, duration span, double size)
+{
+    double admitted = 0.0;
+    for (auto now = from; now < from + span; now += milliseconds{10}) {
+        while (!quota.admit(lodge, size, now)) {
+            admitted += size;
+        }
+    }
+    return admitted;
+}
+
+BOOST_AUTO_TEST_CASE(the_rate_and_the_burst_hold_in_any_window)
+{
+    fleet_quota quota;
+    const monotonic_time start{seconds{10}};
+    quota.configure(with_rate(1000.0, 2000.0), start);
+    const double admitted = admitted_within(quota, start + seconds{60}, seconds{8}, 10.0);
+    BOOST_TEST(admitted <= 1000.0 * 8 + 2000.0);
+    BOOST_TEST(admitted >= 1000.0 * 8);
+}
+
+BOOST_AUTO_TEST_CASE(a_restart_gives_no_second_burst)
+{
+    const monotonic_time start{seconds{100}};
+    fleet_quota before;
+    before.configure(with_rate(1000.0, 2000.0), start - seconds{50});
+    double admitted = admitted_within(before, start, seconds{4}, 10.0);
+    fleet_quota after;
+    after.configure(with_rate(1000.0, 2000.0), start + seconds{4});
+    admitted += admitted_within(after, start + seconds{4}, seconds{4}, 10.0);
+    BOOST_TEST(admitted <= 1000.0 * 8 + 2000.0 + 10.0);
+}
+
+BOOST_AUTO_TEST_CASE(what_other_nodes_admit_is_charged_once)
+{
+    fleet_quota quota;
+    const monotonic_time start{seconds{10}};
+    quota.configure(with_rate(100.0, 1000.0), start);
+    const auto later = start + seconds{30};
+    quota.heard(node_id{"b"}, 1, {{lodge, 500.0}}, later);
+    quota.heard(node_id{"b"}, 1, {{lodge, 500.0}}, later);
+    quota.heard(node_id{"b"}, 1, {{lodge, 840.0}}, later);
+    BOOST_TEST(admitted_within(quota, later, milliseconds{10}, 1.0) <= 160.0);
+    // A node that starts again counts from zero.
+    quota.heard(node_id{"b"}, 2, {{lodge, 50.0}}, later);
+    BOOST_TEST(quota.admit(lodge, 1.0, later).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_hears_half_of_the_others_admits_half_of_the_rate)
+{
+    fleet_quota quota;
+    const monotonic_time start{seconds{10}};
+    quota.configure(with_rate(1000.0, 100.0), start);
+    quota.set_heard_share(0.5, start);
+    const double admitted = admitted_within(quota, start + seconds{10}, seconds{10}, 10.0);
+    BOOST_TEST(admitted <= 5100.0);
+    BOOST_TEST(admitted >= 4900.0);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_there_is_room)
+{
+    fleet_quota quota;
+    const monotonic_time start{seconds{10}};
+    quota.configure(with_rate(100.0, 100.0), start);
+    const auto wait = quota.admit(lodge, 50.0, start);
+    BOOST_REQUIRE(wait.has_value());
+    BOOST_TEST(!quota.admit(lodge, 50.0, start + *wait).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(what_did_not_run_is_given_back)
+{
+    fleet_quota quota;
+    const monotonic_time now{seconds{10}};
+    quota.configure(with_rate(1.0, 100.0), now - seconds{1000});
+    BOOST_REQUIRE(!quota.admit(lodge, 80.0, now).has_value());
+    BOOST_REQUIRE(quota.admit(lodge, 80.0, now).has_value());
+    quota.give_back(lodge, 80.0, now);
+    BOOST_TEST(!quota.admit(lodge, 80.0, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(much_that_was_admitted_is_news)
+{
+    fleet_quota quota;
+    const monotonic_time now{seconds{1000}};
+    quota.configure(with_rate(100.0, 1000.0), now - seconds{500});
+    quota.admit(lodge, 10.0, now);
+    BOOST_TEST(!quota.has_news());
+    quota.admit(lodge, 100.0, now);
+    BOOST_TEST(quota.has_news());
+    quota.told();
+    BOOST_TEST(!quota.has_news());
+}
+
+BOOST_AUTO_TEST_CASE(organisations_without_a_limit_are_admitted)
+{
+    fleet_quota quota;
+    BOOST_TEST(!quota.admit(organisation_id{"free"}, 1e9, monotonic_time{}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(all_nodes_together_stay_within_the_retry_bounds)
+{
+    constexpr int nodes = 6;
+    const service_id service{"draft"};
+    double spent = 0.0;
+    for (int node = 0; node < nodes; ++node) {
+        retry_budget budget{{0.2, 52.0}};
+        budget.set_node_count(nodes);
+        for (int request = 0; request < 100; ++request) {
+            budget.earn(service);
+            while (budget.spend(service)) {
+                spent += 1.0;
+            }
+        }
+    }
+    BOOST_TEST(spent <= 0.2 * 100 * nodes + 52.0);
+    BOOST_TEST(spent >= 0.1 * 100 * nodes);
+}
+
+} // namespace eelgrassbend
