Keep both kinds of endpoints within a zone's bound

Cause: the first test of the scaling plan found seven endpoints for a zone that may have six: the least number was added on top of a full zone. Change: the room that reclaimable endpoints leave bounds the on-demand ones, and these bound the order of reclaimable ones. Result: the test over loads from 0 to 5,000 requests under way holds.

--- a/lib/duties/scaling_plan.cpp
+++ b/lib/duties/scaling_plan.cpp
@@ -54,12 +54,13 @@
     std::vector<scaling_order> orders;
     for (const auto& zone : zones) {
         const auto& counts = input.zones.at(zone);
-        const int room = std::max(0, input.limits.most - each);
-        int on_demand = std::min(missing, room);
-        const int least_left = input.limits.least - std::min(each, counts.reclaimable);
-        on_demand = std::max(on_demand, least_left);
+        // A zone has room for a limited number of both kinds together.
+        const int room = std::max(0, input.limits.most - counts.reclaimable);
+        const int least_left = input.limits.least - counts.reclaimable;
+        const int on_demand = std::max(std::min(missing, room), least_left);
+        const int reclaimable = std::min(each, input.limits.most - on_demand);
         missing -= std::min(missing, on_demand);
-        orders.push_back({input.service, zone, true, each});
+        orders.push_back({input.service, zone, true, reclaimable});
         orders.push_back({input.service, zone, false, on_demand});
     }
     return orders;
--- /dev/null
+++ b/unittests/duties/scaling_test.cpp
@@ -0,0 +1,108 @@
+#include "eelgrassbend/duties/scaler.h"
+#include "eelgrassbend/duties/scaling_plan.h"
+
+#include "duty_fakes.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace eelgrassbend {
+
+using std::chrono::seconds;
+
+static scaling_input four_zones(double concurrency, int reclaimable_each)
+{
+    scaling_input input;
+    input.service = service_id{"draft"};
+    input.limits.least = 1;
+    input.limits.most = 6;
+    input.limits.reclaimable_price = 0.2;
+    input.concurrency = concurrency;
+    for (const char* zone : {"a", "b", "c", "d"}) {
+        input.limits.zone_prices[availability_zone{zone}] = 1.0;
+        input.zones[availability_zone{zone}].reclaimable = reclaimable_each;
+    }
+    return input;
+}
+
+static int ordered(const std::vector<scaling_order>& orders, bool is_reclaimable)
+{
+    int count = 0;
+    for (const auto& order : orders) {
+        count += order.is_reclaimable == is_reclaimable ? order.count : 0;
+    }
+    return count;
+}
+
+BOOST_AUTO_TEST_CASE(reclaimable_endpoints_carry_the_load_without_any_one_zone)
+{
+    const auto orders = plan_scaling(four_zones(60.0, 3));
+    const int all = ordered(orders, true);
+    BOOST_TEST(all - all / 4 >= 60.0 / 9.0);
+    BOOST_TEST(ordered(orders, false) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(on_demand_endpoints_fill_in_for_lost_ones)
+{
+    auto input = four_zones(60.0, 3);
+    for (const char* zone : {"a", "b", "c"}) {
+        input.zones[availability_zone{zone}].reclaimable = 0;
+    }
+    const auto orders = plan_scaling(input);
+    BOOST_TEST(ordered(orders, false) >= 4);
+}
+
+BOOST_AUTO_TEST_CASE(bounds_of_a_zone_hold_for_both_kinds_together)
+{
+    for (const double concurrency : {0.0, 50.0, 500.0, 5000.0}) {
+        for (const int present : {0, 2, 6}) {
+            const auto orders = plan_scaling(four_zones(concurrency, present));
+            std::map<availability_zone, int> sums;
+            for (const auto& order : orders) {
+                BOOST_TEST(order.count >= 0);
+                sums[order.zone] += order.count;
+            }
+            for (const auto& [zone, sum] : sums) {
+                BOOST_TEST(sum >= 1);
+                BOOST_TEST(sum <= 6);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(only_the_holder_orders_and_an_order_is_given_once)
+{
+    virtual_scheduler time;
+    fakes::fake_store_logs logs;
+    lease_node node{logs, time, "first"};
+    endpoint_table endpoints{seconds{1}};
+    const load_model loads;
+    recording_duty_calls calls;
+    scaler scaling{time, node.log, node.lease, endpoints, loads, calls};
+    routing_configuration configuration;
+    routed_service service;
+    service.id = service_id{"draft"};
+    service.scaling = scaling_limits{1, 6, seconds{4}, 0.2, {{availability_zone{"a"}, 1.0}}};
+    configuration.services = {service};
+    scaling.set_table(std::make_shared<const route_table>(configuration));
+    scaling.start();
+    time.run_for(seconds{3});
+    BOOST_TEST(calls.orders.empty());
+    node.lease.start();
+    time.run_for(seconds{3});
+    const auto given = calls.orders.size();
+    BOOST_TEST(given >= 1U);
+    for (int index = 0; index < 2; ++index) {
+        endpoint_record record;
+        record.id = endpoint_id{"i-" + std::to_string(index)};
+        record.service = service.id;
+        record.zone = availability_zone{"a"};
+        record.is_reclaimable = true;
+        endpoints.put(record, time.now());
+    }
+    time.run_for(seconds{30});
+    BOOST_TEST(calls.orders.size() <= given + 2U);
+}
+
+} // namespace eelgrassbend
