--- a/include/eelgrassbend/duties/scaler.h
+++ b/include/eelgrassbend/duties/scaler.h
@@ -59,7 +59,15 @@
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the scaler
     std::optional<timer_id> timer;
     std::map<subject, order_state> orders;
-    std::map<service_id, double> smoothed; ///< requests under way
+
+    /// What is known of the load of a service.
+    struct load_state {
+        double requests = 0.0;                    ///< under way, smoothed
+        std::size_t provisioned = 0;              ///< endpoints before anything was ordered
+        std::optional<monotonic_time> busy_since; ///< when requests first came
+    };
+
+    std::map<service_id, load_state> load;
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/duties/scaling_plan.h
+++ b/include/eelgrassbend/duties/scaling_plan.h
@@ -13,7 +13,6 @@
 struct zone_endpoints {
     int on_demand = 0;
     int reclaimable = 0;
-    bool reclaimable_unavailable = false; ///< the platform had none of them lately
 };
 
 /// What a plan for one service rests on.
@@ -21,13 +20,14 @@
     service_id service;
     scaling_limits limits;
     double concurrency = 0.0; ///< requests under way on all endpoints, smoothed
+    int least_total = 0;      ///< endpoints to keep while the load is not known
     std::map<availability_zone, zone_endpoints> zones;
 };
 
 /// How many endpoints of each kind a service shall have in each zone. Answers the price of
 /// endpoints against the loss of a zone's reclaimable ones: these cost a fraction, so enough of
 /// them are kept that the load fits without any one zone, and on-demand endpoints only fill in
-/// where no reclaimable ones can be had.
+/// where far too few are left.
 std::vector<scaling_order> plan_scaling(const scaling_input& input);
 
 } // namespace eelgrassbend
--- a/lib/duties/scaler.cpp
+++ b/lib/duties/scaler.cpp
@@ -2,13 +2,19 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace eelgrassbend {
 
 static constexpr std::chrono::milliseconds tick_time{500};
-/// Weight of a new look at the load in its average.
-static constexpr double concurrency_weight = 0.15;
+/// Weights of a new look at the load in its average: more load is followed sooner than less.
+static constexpr double rising_weight = 0.25;
+static constexpr double falling_weight = 0.05;
+/// Until the load has been seen for so long, as many endpoints are kept as there were.
+static constexpr std::chrono::seconds learning_time{12};
+/// More requests under way than this, and the load has begun.
+static constexpr double busy_requests = 1.0;
 /// An order that shows no effect is given again after this time beyond the boot time.
 static constexpr std::chrono::seconds repeat_margin{3};
 /// After the platform had none of a kind, it is asked again after this time.
@@ -56,13 +62,22 @@
 void scaler::watch_load(const routed_service& service)
 {
     double requests = 0.0;
+    std::size_t endpoint_count = 0;
     for (const auto& [id, known] : this->endpoints.all()) {
         if (known.record.service == service.id) {
             requests += this->loads.total(id).requests;
+            ++endpoint_count;
         }
     }
-    double& average = this->smoothed[service.id];
-    average += concurrency_weight * (requests - average);
+    auto& state = this->load[service.id];
+    const double weight = requests > state.requests ? rising_weight : falling_weight;
+    state.requests += weight * (requests - state.requests);
+    if (this->orders.empty()) {
+        state.provisioned = std::max(state.provisioned, endpoint_count);
+    }
+    if (!state.busy_since && state.requests > busy_requests) {
+        state.busy_since = this->time.now();
+    }
 }
 
 scaling_input scaler::observe(const routed_service& service) const
@@ -70,7 +85,11 @@
     scaling_input input;
     input.service = service.id;
     input.limits = *service.scaling;
-    input.concurrency = this->smoothed.at(service.id);
+    const auto& state = this->load.at(service.id);
+    input.concurrency = state.requests;
+    if (!state.busy_since || this->time.now() - *state.busy_since < learning_time) {
+        input.least_total = static_cast<int>(state.provisioned);
+    }
     for (const auto& [zone, price] : service.scaling->zone_prices) {
         input.zones[zone];
     }
