Hold quotas over their window and hear of load sooner

Cause: a quota allows rate x window + burst in any window, but a bucket of rate and burst gives a steady caller the rate alone. Large requests waited for a full bucket while small ones emptied it. Digests of load every 250 ms let all nodes choose the same engine. Change: half of the burst is spread over the window on top of the rate, which bounds any window alike and needs no memory; a request is let in whatever its size and pays back; 4,000 tokens of new prompt work are news for the other nodes, with the pause between digests growing with their number.

--- a/include/eelgrassbend/limits/fleet_quota.h
+++ b/include/eelgrassbend/limits/fleet_quota.h
@@ -11,11 +11,14 @@
 
 namespace eelgrassbend {
 
-/// Holds the quotas of organisations over all entry nodes. Each node charges what it admits and
+/// Holds the quotas of organisations over all entry nodes: the rate times a window plus the burst
+/// in any window. Each node charges what it admits and
 /// what the others' digests say that they admitted. A node that hears only a part of the others
 /// admits by that part of the rate, so that two sides of a partition stay within one quota.
 class fleet_quota {
 public:
+    explicit fleet_quota(duration window) : window(window) {}
+
     void configure(const std::vector<organisation>& organisations, monotonic_time now);
     /// Share of the serving nodes that this one hears, above 0 and at most 1.
     void set_heard_share(double share, monotonic_time now);
@@ -49,6 +52,7 @@
         std::map<organisation_id, double> admitted;
     };
 
+    duration window;
     double share = 1.0;
     bool news = false;
     std::map<organisation_id, double> since_digest;
--- a/include/eelgrassbend/placement/load_model.h
+++ b/include/eelgrassbend/placement/load_model.h
@@ -59,6 +59,14 @@
 
     /// Work of this node alone, for its digest.
     [[nodiscard]] std::map<endpoint_id, endpoint_work> own_work() const;
+
+    /// Whether this node's own work has changed so much since the last digest that the others
+    /// should hear of it now.
+    [[nodiscard]] bool has_news() const { return this->untold_prompt > news_prompt; }
+
+    /// A digest with the own work was sent.
+    void told() { this->untold_prompt = 0; }
+
     /// Work of all nodes, as far as known.
     [[nodiscard]] endpoint_work total(const endpoint_id& endpoint) const;
     /// How long work takes there against the prediction; 1 without any observation.
@@ -92,7 +100,11 @@
         std::optional<monotonic_time> suspended_until;
     };
 
+    /// Prompt tokens that others should hear of at once; about 80 ms of an engine's time.
+    static constexpr std::int64_t news_prompt = 4'000;
+
     attempt_number next = 1;
+    std::int64_t untold_prompt = 0;
     std::unordered_map<attempt_number, attempt_state> attempts;
     std::map<endpoint_id, endpoint_state> endpoints;
     std::map<node_id, std::map<endpoint_id, endpoint_work>> peers;
--- a/include/eelgrassbend/settings/gateway_settings.h
+++ b/include/eelgrassbend/settings/gateway_settings.h
@@ -18,6 +18,7 @@
     duration draining = std::chrono::seconds{2};    ///< until a leaving endpoint gets nothing new
     duration stop = std::chrono::seconds{8};        ///< from SIGTERM to the end of the process
     retry_bounds retries{0.2, 50.0};
+    duration quota_window = std::chrono::seconds{8}; ///< over which quotas hold
     duration usage_window = std::chrono::seconds{5};
     duration usage_due = std::chrono::seconds{10}; ///< after the end of a window
     duration lease = std::chrono::seconds{3};
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -28,6 +28,8 @@
 static constexpr double missing_part = 0.6;
 /// Callers ask again after this time, some of them after three times as long.
 static constexpr std::chrono::seconds directory_time{2};
+/// Requests run a little after they are admitted, so windows are held a little longer.
+static constexpr milliseconds quota_window_margin{200};
 /// What engines report of themselves is up to this old.
 static constexpr milliseconds report_age{350};
 /// How often an engine that drains is asked when it will be taken.
@@ -115,6 +117,7 @@
       endpoints(missing_time(node_settings)),
       cache(assumed_memory),
       places(endpoints, loads, cache, needs.random, node_settings.zone),
+      quotas(node_settings.bounds.quota_window + quota_window_margin),
       retries(node_settings.bounds.retries),
       usage(node_settings.bounds.usage_window),
       fleet(node_settings.node),
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -2,14 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace eelgrassbend {
 
 /// Time between two digests; a node that is silent for several is taken out of the directory.
 static constexpr std::chrono::milliseconds digest_interval_time{250};
-/// Least time between two digests where one has news that cannot wait.
-static constexpr std::chrono::milliseconds news_interval_time{50};
+/// Least time between two digests where one has news that cannot wait: for a few nodes, and for
+/// each node that gets them, so that many nodes do not spend their time on them.
+static constexpr std::chrono::milliseconds news_interval_time{40};
+static constexpr std::chrono::milliseconds news_interval_per_node{5};
 /// Each so many digests goes to silent nodes too, so that they are heard when they come back.
 static constexpr std::uint64_t silent_every = 4;
 /// Pause before the node's record is written again after a failure.
@@ -103,8 +106,12 @@
 void node_presence::tick()
 {
     const auto now = this->time.now();
-    this->timer = this->time.call_after(news_interval_time, [this] { this->tick(); });
-    if (now < this->next_digest && !this->quotas.has_news()) {
+    const auto nodes = static_cast<std::int64_t>(this->fleet.alive(now).size());
+    const auto pause =
+        std::clamp(news_interval_per_node * nodes, news_interval_time, digest_interval_time);
+    this->timer = this->time.call_after(pause, [this] { this->tick(); });
+    const bool has_news = this->quotas.has_news() || this->loads.has_news();
+    if (now < this->next_digest && !has_news) {
         return;
     }
     this->next_digest = now + digest_interval_time;
@@ -134,6 +141,7 @@
     digest.admitted = this->quotas.admitted();
     digest.usage = this->usage.own();
     this->quotas.told();
+    this->loads.told();
     const auto bytes = encode_digest(digest);
     const bool with_silent = this->is_leaving || this->sequence % silent_every == 1;
     for (const auto& address : this->fleet.receivers(this->time.now(), with_silent)) {
--- a/lib/limits/fleet_quota.cpp
+++ b/lib/limits/fleet_quota.cpp
@@ -4,14 +4,19 @@
 
 namespace eelgrassbend {
 
-/// Part of a burst that is given out; the rest covers what other nodes admit before their digests
-/// arrive.
-static constexpr double used_burst = 0.85;
+/// Parts of a burst that are given out at once, and spread over the window on top of the rate. What
+/// is left covers what other nodes admit before their digests arrive.
+static constexpr double burst_at_once = 0.45;
+static constexpr double burst_spread = 0.45;
+/// Part of a burst that lets a request in, whatever its size: what it takes beyond is paid back by
+/// the rate. Otherwise large requests would wait for a full bucket while small ones empty it.
+static constexpr double admitting_part = 0.1;
 /// Units of one organisation, as a part of its burst, that the others should hear of at once.
 static constexpr double news_part = 0.04;
 
 void fleet_quota::configure(const std::vector<organisation>& organisations, monotonic_time now)
 {
+    const std::chrono::duration<double> seconds{this->window};
     std::map<organisation_id, account> kept;
     for (const auto& entry : organisations) {
         if (entry.rate <= 0.0) {
@@ -22,8 +27,8 @@
         if (found != this->accounts.end()) {
             known = found->second;
         }
-        known.rate = entry.rate;
-        known.burst = entry.burst * used_burst;
+        known.rate = entry.rate + burst_spread * entry.burst / seconds.count();
+        known.burst = entry.burst * burst_at_once;
         known.bucket.configure(now, known.rate * this->share, known.burst);
         if (found == this->accounts.end()) {
             // What was admitted before this process started is not known, so it counts as all.
@@ -49,7 +54,7 @@
 {
     const auto found = this->accounts.find(id);
     if (found != this->accounts.end()) {
-        const auto wait = found->second.bucket.wait_for(now, units);
+        const auto wait = found->second.bucket.wait_for(now, admitting_part * found->second.burst);
         if (wait > duration::zero()) {
             return wait;
         }
--- a/lib/settings/gateway_settings.cpp
+++ b/lib/settings/gateway_settings.cpp
@@ -46,6 +46,7 @@
         table.milliseconds("draining_ms", milliseconds{100}, minutes{10}, bounds.draining);
     bounds.lease = table.milliseconds("lease_ms", milliseconds{200}, minutes{10}, bounds.lease);
     bounds.stop = read_seconds(table, "stop_s", 0.5, 3600.0, bounds.stop);
+    bounds.quota_window = read_seconds(table, "quota_window_s", 0.5, 3600.0, bounds.quota_window);
     bounds.usage_window = read_seconds(table, "usage_window_s", 0.1, 3600.0, bounds.usage_window);
     bounds.usage_due = read_seconds(table, "usage_due_s", 0.1, 3600.0, bounds.usage_due);
     bounds.directory_time_to_live =
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -218,7 +218,7 @@
     load_model loads;
     prompt_cache cache{100'000};
     placer places{this->endpoints, this->loads, this->cache, this->random, availability_zone{"a"}};
-    fleet_quota quotas;
+    fleet_quota quotas{std::chrono::seconds{8}};
     retry_budget retries{{0.2, 50.0}};
     usage_board usage{std::chrono::seconds{5}};
     fake_run_mover mover;
