Let prompts wait behind others for a part of the shortest goal only

Change: an engine whose unread prompts take longer than 0.7 of the service's shortest goal, less for each step of priority, has no room for one more; the request waits a moment and is refused as not run, with the time until there is room. A test plays the burst.

--- a/include/eelgrassbend/placement/placer.h
+++ b/include/eelgrassbend/placement/placer.h
@@ -20,7 +20,8 @@
     std::vector<prompt_part> parts; ///< in order; the last one is the request's own
     std::int64_t prompt_tokens = 0;
     std::int64_t output_tokens = 0; ///< expected
-    duration goal{};                ///< for the first byte
+    /// Longest wait behind prompts that an engine has still to read; nothing: any.
+    std::optional<duration> longest_wait;
     std::set<endpoint_id> excluded; ///< already tried
 };
 
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -73,6 +73,8 @@
     [[nodiscard]] bool may_go_elsewhere() const;
     [[nodiscard]] placement_request describe() const;
     [[nodiscard]] std::optional<engine_traits> engine() const;
+    /// Longest wait behind other prompts at the engine that is chosen.
+    [[nodiscard]] std::optional<duration> longest_wait() const;
     void place();
     void wait_for_room(const placement_answer& answer);
     void dispatch(const placement& where);
--- a/include/eelgrassbend/serving/forward_services.h
+++ b/include/eelgrassbend/serving/forward_services.h
@@ -29,6 +29,10 @@
     /// Part of a request's goal for which it may wait here for an endpoint with room; callers
     /// lose nothing by a refusal that comes that early.
     double hold_part = 0.12;
+    /// Part of the shortest goal of a service's streams that a prompt may wait at an engine behind
+    /// others, for the most urgent requests, and what is left of it with each priority.
+    double wait_part = 0.7;
+    double wait_part_per_priority = 0.85;
     /// Between two looks for an endpoint with room.
     duration placement_pause = std::chrono::milliseconds{15};
     /// Least and most time that a refused caller is told to stay away.
--- a/lib/placement/placer.cpp
+++ b/lib/placement/placer.cpp
@@ -40,6 +40,7 @@
     bool is_full = false;
     milliseconds score{};
     milliseconds predicted{};
+    milliseconds wait{}; ///< behind prompts that are still to be read
     placement result;
 };
 
@@ -107,9 +108,15 @@
                                                   result.work.uncached_prompt);
         const double crowd = 1.0 + slowdown_per_request * load.requests;
         weighed.predicted = engine_overhead + milliseconds{tokens / prompt_tokens_per_ms * crowd};
+        const milliseconds wait{
+            pace * crowd * static_cast<double>(std::max<std::int64_t>(0, load.waiting_prompt)) /
+            prompt_tokens_per_ms};
+        weighed.is_full = request.longest_wait && wait > *request.longest_wait;
+        weighed.wait = wait;
         const double planned = planned_memory * static_cast<double>(engine->memory.value());
-        weighed.is_full = engine->memory.value() > 0 && load.requests > 0 &&
-                          static_cast<double>(load.memory + result.work.memory) > planned;
+        weighed.is_full =
+            weighed.is_full || (engine->memory.value() > 0 && load.requests > 0 &&
+                                static_cast<double>(load.memory + result.work.memory) > planned);
     }
     else {
         const double queued = std::max(0.0, static_cast<double>(load.requests + 1 - slots));
@@ -157,7 +164,7 @@
         }
         if (weighed.is_full) {
             answer.reason = placement_failure::all_full;
-            soonest = std::min(soonest, weighed.predicted);
+            soonest = std::min(soonest, weighed.wait);
             continue;
         }
         if (!best || weighed.score < best->score) {
--- a/lib/routes/route_table.cpp
+++ b/lib/routes/route_table.cpp
@@ -18,6 +18,13 @@
 {
     for (const auto& entry : this->held.routes) {
         this->by_host[normal_host(entry.host)].push_back(&entry);
+        if (entry.kind != request_kind::stream || entry.goal <= duration::zero()) {
+            continue;
+        }
+        for (const auto& share : entry.split) {
+            const auto [known, is_new] = this->goals.emplace(share.service, entry.goal);
+            known->second = std::min(known->second, entry.goal);
+        }
     }
     for (auto& [host, routes] : this->by_host) {
         std::stable_sort(routes.begin(), routes.end(), [](const route* left, const route* right) {
@@ -60,6 +67,12 @@
     return found == this->by_service.end() ? nullptr : found->second;
 }
 
+std::optional<duration> route_table::shortest_goal(const service_id& id) const
+{
+    const auto found = this->goals.find(id);
+    return found == this->goals.end() ? std::nullopt : std::optional{found->second};
+}
+
 const service_id& pick_service(const route& chosen, double draw)
 {
     assert(!chosen.split.empty() && "a route has a service");
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace eelgrassbend {
@@ -98,11 +99,26 @@
     wanted.prompt_tokens = facts.prompt_tokens;
     wanted.output_tokens =
         std::min(facts.expected_output.value_or(facts.most_output), facts.most_output);
-    wanted.goal = this->request.chosen->goal;
+    wanted.longest_wait = this->longest_wait();
     wanted.excluded = this->excluded;
     return wanted;
 }
 
+// Engines read prompts in the order in which they come, so what waits there for long delays the
+// requests with the shortest goal too. The less urgent a request, the shorter the wait that it may
+// add to; so the more urgent ones find room as long as there is any.
+std::optional<duration> forward_flow::longest_wait() const
+{
+    const auto goal = this->request.table->shortest_goal(this->request.target);
+    if (!goal || this->stream_started) {
+        return std::nullopt;
+    }
+    const auto& settings = this->services.settings;
+    const double part =
+        settings.wait_part * std::pow(settings.wait_part_per_priority, this->request.priority);
+    return std::chrono::duration_cast<duration>(part * *goal);
+}
+
 std::optional<engine_traits> forward_flow::engine() const
 {
     return this->request.service != nullptr ? this->request.service->engine : std::nullopt;
--- a/unittests/placement/placer_test.cpp
+++ b/unittests/placement/placer_test.cpp
@@ -170,4 +170,27 @@
     BOOST_TEST(near >= 15);
 }
 
+// A burst of long prompts: what is taken keeps its goal, and the more urgent kind finds room last.
+BOOST_FIXTURE_TEST_CASE(prompts_wait_behind_others_only_as_long_as_allowed, placer_fixture)
+{
+    this->add("e1");
+    this->add("e2");
+    auto ordinary = this->prompt(2000);
+    ordinary.longest_wait = milliseconds{200};
+    auto urgent = this->prompt(500);
+    urgent.longest_wait = milliseconds{350};
+    int taken = 0;
+    while (taken < 100 &&
+           this->places.choose(ordinary, this->engine, this->now).chosen.has_value()) {
+        this->place(ordinary);
+        ++taken;
+    }
+    BOOST_TEST(taken >= 10);
+    BOOST_TEST(taken <= 14);
+    const auto refused = this->places.choose(ordinary, this->engine, this->now);
+    BOOST_TEST((refused.reason == placement_failure::all_full));
+    BOOST_TEST((refused.wait >= milliseconds{200}));
+    BOOST_TEST((this->place(urgent).predicted < milliseconds{350}));
+}
+
 } // namespace eelgrassbend
