--- a/include/eelgrassbend/routes/route_table.h
+++ b/include/eelgrassbend/routes/route_table.h
@@ -14,6 +14,7 @@
 class route_table {
 public:
     explicit route_table(routing_configuration configuration);
+    ~route_table() = default;
     route_table(const route_table&) = delete;
     route_table& operator=(const route_table&) = delete;
 
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -44,6 +44,8 @@
     forward_flow(const forward_services& services, forwarded_request request,
                  ended_handler on_ended);
     ~forward_flow() override;
+    forward_flow(const forward_flow&) = delete;
+    forward_flow& operator=(const forward_flow&) = delete;
 
     void begin();
     /// The endpoint will be taken away; a run there goes on elsewhere if it will not end before.
--- a/lib/duties/scaling_plan.cpp
+++ b/lib/duties/scaling_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace eelgrassbend {
 
@@ -26,8 +27,8 @@
         const auto found = input.limits.zone_prices.find(zone);
         return found == input.limits.zone_prices.end() ? 0.0 : found->second;
     };
-    std::stable_sort(zones.begin(), zones.end(), [&](const auto& left, const auto& right) {
-        return price(left) < price(right);
+    std::sort(zones.begin(), zones.end(), [&](const auto& left, const auto& right) {
+        return std::pair{price(left), left} < std::pair{price(right), right};
     });
     return zones;
 }
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -5,6 +5,7 @@
 #include "fleet.capnp.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -36,8 +37,9 @@
 static std::vector<work_entry> work_that_fits(const node_digest& digest)
 {
     std::vector<work_entry> entries{digest.work.begin(), digest.work.end()};
-    std::stable_sort(entries.begin(), entries.end(), [](const auto& left, const auto& right) {
-        return left.second.requests > right.second.requests;
+    std::sort(entries.begin(), entries.end(), [](const auto& left, const auto& right) {
+        return std::tie(right.second.requests, left.first) <
+               std::tie(left.second.requests, right.first);
     });
     std::size_t bytes = bytes_without_work(digest);
     std::size_t kept = 0;
--- a/lib/routes/route_table.cpp
+++ b/lib/routes/route_table.cpp
@@ -27,8 +27,9 @@
         }
     }
     for (auto& [host, routes] : this->by_host) {
-        std::stable_sort(routes.begin(), routes.end(), [](const route* left, const route* right) {
-            return left->path_prefix.size() > right->path_prefix.size();
+        std::sort(routes.begin(), routes.end(), [](const route* left, const route* right) {
+            return std::pair{right->path_prefix.size(), left->path_prefix} <
+                   std::pair{left->path_prefix.size(), right->path_prefix};
         });
     }
     for (const auto& entry : this->held.organisations) {
