Give the bench's two kinds of fleet two names

Cause: bench/fleet.h and bench/routing_fleet.h defined eelgrassbend::bench::fleet twice; the linker kept one destructor, and eelgrassbend-bench routing ended with signal 11 after its results. Change: the routing experiment's one is routing_fleet. No check for further doubles was added.

--- a/bench/routing_fleet.cpp
+++ b/bench/routing_fleet.cpp
@@ -50,7 +50,7 @@
     }
 }
 
-static void add_engine(fleet& built, const std::string& zone, const std::string& type,
+static void add_engine(routing_fleet& built, const std::string& zone, const std::string& type,
                        bool reclaimable)
 {
     fleet_engine engine;
@@ -63,10 +63,10 @@
     built.engines.push_back(engine);
 }
 
-static fleet make_empty(const std::string& service, double quick_slot_share,
-                        const std::vector<zone_price>& zones)
+static routing_fleet make_empty(const std::string& service, double quick_slot_share,
+                                const std::vector<zone_price>& zones)
 {
-    fleet built;
+    routing_fleet built;
     service_spec spec;
     spec.id = service_id{service};
     spec.first_token_target = std::chrono::seconds{2};
@@ -85,7 +85,7 @@
     return built;
 }
 
-fleet make_fleet(const std::string& deployment)
+routing_fleet make_fleet(const std::string& deployment)
 {
     if (deployment == "kilimanjaro") {
         auto built = make_empty(
--- a/bench/routing_fleet.h
+++ b/bench/routing_fleet.h
@@ -17,7 +17,7 @@
 };
 
 /// A deployment's model service, as far as routing has to do with it.
-struct fleet {
+struct routing_fleet {
     bundle declared;
     std::vector<fleet_engine> engines;
     double quick_share = 0.5; ///< of the requests
@@ -26,7 +26,7 @@
 };
 
 /// "kilimanjaro" or "magnolia"; empty engines if the name is unknown.
-fleet make_fleet(const std::string& deployment);
+routing_fleet make_fleet(const std::string& deployment);
 
 } // namespace eelgrassbend::bench
 
--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -35,7 +35,7 @@
 
 class routing_run : public engine_observer {
 public:
-    routing_run(const fleet& deployment, const std::vector<work_item>& work,
+    routing_run(const routing_fleet& deployment, const std::vector<work_item>& work,
                 const run_options& options);
 
     nlohmann::json run();
@@ -70,7 +70,7 @@
                                                    const engine_usage& usage) const;
     [[nodiscard]] double busy_cost() const;
 
-    const fleet& deployment;
+    const routing_fleet& deployment;
     const std::vector<work_item>& work;
     run_options options;
     virtual_scheduler timers;
@@ -100,7 +100,7 @@
     return declared;
 }
 
-routing_run::routing_run(const fleet& deployment, const std::vector<work_item>& work,
+routing_run::routing_run(const routing_fleet& deployment, const std::vector<work_item>& work,
                          const run_options& options)
     : deployment(deployment),
       work(work),
@@ -474,7 +474,7 @@
     return full_step * steps + std::chrono::duration_cast<duration>(prefill);
 }
 
-nlohmann::json run_routing(const fleet& deployment, const std::vector<work_item>& work,
+nlohmann::json run_routing(const routing_fleet& deployment, const std::vector<work_item>& work,
                            const run_options& options)
 {
     routing_run run(deployment, work, options);
--- a/bench/routing_run.h
+++ b/bench/routing_run.h
@@ -22,7 +22,7 @@
 };
 
 /// Puts the work through the engines by one policy under virtual time; answers the figures.
-nlohmann::json run_routing(const fleet& deployment, const std::vector<work_item>& work,
+nlohmann::json run_routing(const routing_fleet& deployment, const std::vector<work_item>& work,
                            const run_options& options);
 
 } // namespace eelgrassbend::bench
--- a/bench/routing_work.cpp
+++ b/bench/routing_work.cpp
@@ -39,7 +39,7 @@
 
 class work_generator {
 public:
-    work_generator(const fleet& deployment, std::uint64_t seed)
+    work_generator(const routing_fleet& deployment, std::uint64_t seed)
         : deployment(deployment), random(seed)
     {
         for (std::size_t each = 0; each < deployment.organisation_weights.size(); ++each) {
@@ -154,7 +154,7 @@
         }
     }
 
-    const fleet& deployment;
+    const routing_fleet& deployment;
     seeded_random random;
     std::vector<block_chain> templates;
     std::vector<conversation> conversations;
@@ -164,7 +164,8 @@
 
 } // namespace
 
-std::vector<work_item> make_work(const fleet& deployment, std::size_t count, std::uint64_t seed)
+std::vector<work_item> make_work(const routing_fleet& deployment, std::size_t count,
+                                 std::uint64_t seed)
 {
     work_generator generator(deployment, seed);
     std::vector<work_item> work;
@@ -175,7 +176,7 @@
     return work;
 }
 
-double fleet_capacity(const fleet& deployment, const std::vector<work_item>& work)
+double fleet_capacity(const routing_fleet& deployment, const std::vector<work_item>& work)
 {
     const double mean_template =
         static_cast<double>(shortest_template) + static_cast<double>(template_spread) / 2.0;
--- a/bench/routing_work.h
+++ b/bench/routing_work.h
@@ -22,11 +22,12 @@
 
 /// `count` requests with prefixes shared in an organisation and in a conversation, and
 /// heavy-tailed sizes.
-std::vector<work_item> make_work(const fleet& deployment, std::size_t count, std::uint64_t seed);
+std::vector<work_item> make_work(const routing_fleet& deployment, std::size_t count,
+                                 std::uint64_t seed);
 
 /// Requests of this mix that the whole fleet completes in a second with full batches, if the
 /// prompt shared by an organisation is cached everywhere and nothing else is.
-double fleet_capacity(const fleet& deployment, const std::vector<work_item>& work);
+double fleet_capacity(const routing_fleet& deployment, const std::vector<work_item>& work);
 
 } // namespace eelgrassbend::bench
 
