Give up peer connections that have ended before they are used again

Cause: killing one entry process ended all the others with signal 6 within two seconds. The idle connection to it had ended; Cap'n Proto forgets the connection's state then, and the next bootstrap sets it up again on a network that is shut down, which throws out of the handler. Ruled out: the event port and the answers to the peer's calls: a test with connections that are closed between calls aborts in bootstrap alone. Change: a link is retired as soon as its client sees the end; a call on one whose end nobody has seen yet fails as not sent; what a retired client still wants to say is dropped.

--- a/lib/peer_rpc/capnp_peer_rpc.cpp
+++ b/lib/peer_rpc/capnp_peer_rpc.cpp
@@ -74,7 +74,9 @@
     void with_link(const network_address& peer, std::function<void()> action);
     void connected(const network_address& peer, const std::shared_ptr<peer_link>& link,
                    tcp::socket socket, error_code failure);
+    void watch(const network_address& peer, const std::shared_ptr<peer_link>& link);
     void send(const call_ptr& pending);
+    void send_on_link(const call_ptr& pending);
     void answered(const call_ptr& pending, const std::string& frame);
     void finish(const call_ptr& pending, result<std::string> answer);
     void retire(const network_address& peer);
@@ -277,17 +279,47 @@
         link->stream = kj::heap<asio_stream>(std::move(socket));
         link->client = kj::heap<capnp::TwoPartyClient>(*link->stream);
         link->open = true;
+        this->watch(peer, link);
     }
     for (const auto& action : waiting) {
         action();
     }
 }
 
+// A client whose connection has ended throws at its next use, so it is given up when that is seen.
+void capnp_peer_rpc::implementation::watch(const network_address& peer,
+                                           const std::shared_ptr<peer_link>& link)
+{
+    std::weak_ptr<implementation> weak = this->shared_from_this();
+    std::weak_ptr<peer_link> watched = link;
+    this->tasks.add(link->client->onDisconnect().then([weak, watched, peer] {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        const auto found = self->links.find(peer);
+        if (found != self->links.end() && found->second == watched.lock()) {
+            self->retire(peer);
+        }
+    }));
+}
+
 void capnp_peer_rpc::implementation::send(const call_ptr& pending)
 {
     if (!pending->handler) {
         return;
     }
+    const auto failure = kj::runCatchingExceptions([&] { this->send_on_link(pending); });
+    KJ_IF_MAYBE (reason, failure) {
+        // The connection has ended and nobody has seen it yet; nothing was sent on it.
+        this->retire(pending->peer);
+        this->finish(pending, make_error(errc::unavailable, "call peer", pending->peer.to_string(),
+                                         reason->getDescription().cStr()));
+    }
+}
+
+void capnp_peer_rpc::implementation::send_on_link(const call_ptr& pending)
+{
     const auto found = this->links.find(pending->peer);
     if (found == this->links.end() || !found->second->open) {
         this->finish(pending, make_error(errc::unavailable, "call peer", pending->peer.to_string(),
@@ -355,7 +387,10 @@
 {
     auto found = this->links.extract(peer);
     if (!found.empty()) {
-        asio::post(this->context, [link = std::move(found.mapped())] {});
+        asio::post(this->context, [link = std::move(found.mapped())]() mutable {
+            // What the client still wants to say fails on a connection that has ended.
+            kj::runCatchingExceptions([&] { link.reset(); });
+        });
     }
 }
 
--- a/unittests/peer_rpc/capnp_peer_rpc_test.cpp
+++ b/unittests/peer_rpc/capnp_peer_rpc_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -18,11 +19,11 @@
 /// One node with its keys.
 struct rpc_node {
     rpc_node(boost::asio::io_context& context, rpc_runtime& runtime, scheduler& time,
-             random_source& random, const std::string& secret)
+             random_source& random, const std::string& secret, std::uint16_t port = 0)
         : authenticator(keys, time, random), rpc(context, runtime, time, authenticator)
     {
         BOOST_REQUIRE(keys.replace({{peer_key_id{1}, secret}}, peer_key_id{1}).has_value());
-        this->address = this->rpc.listen({"127.0.0.1", 0}).value();
+        this->address = this->rpc.listen({"127.0.0.1", port}).value();
     }
 
     peer_key_ring keys;
@@ -42,6 +43,12 @@
         return done();
     }
 
+    void run_for(milliseconds span)
+    {
+        const auto end = std::chrono::steady_clock::now() + span;
+        this->run_until([&] { return std::chrono::steady_clock::now() >= end; });
+    }
+
     result<std::string> call(rpc_node& from, const network_address& to, const std::string& text,
                              milliseconds timeout = milliseconds{2000})
     {
@@ -196,4 +203,85 @@
     BOOST_TEST((sender == from));
 }
 
+// A process that is killed between two calls leaves an idle connection that has ended.
+BOOST_FIXTURE_TEST_CASE(a_peer_that_was_killed_between_calls_harms_nobody, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    network_address address;
+    {
+        rpc_node b{context, runtime, time, random, secret};
+        address = b.address;
+        b.rpc.serve(peer_method::claim,
+                    [](const std::string&, const auto& answer) { answer(std::string{"one"}); });
+        BOOST_TEST(this->call(a, b.address, "x").value() == "one");
+    }
+    for (int index = 0; index < 3; ++index) {
+        this->run_for(milliseconds{50});
+        BOOST_TEST(!this->call(a, address, "x").has_value());
+    }
+    rpc_node again{context, runtime, time, random, secret, address.port};
+    again.rpc.serve(peer_method::claim,
+                    [](const std::string&, const auto& answer) { answer(std::string{"two"}); });
+    BOOST_TEST(this->call(a, address, "x").value() == "two");
+}
+
+namespace {
+
+/// Accepts connections and resets each after it has read some bytes.
+class resetting_server {
+public:
+    resetting_server(boost::asio::io_context& context, std::size_t bytes)
+        : acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0}), bytes(bytes)
+    {
+        this->accept();
+    }
+
+    [[nodiscard]] network_address address() const
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept([this](boost::system::error_code failure,
+                                           boost::asio::ip::tcp::socket socket) {
+            if (failure) {
+                return;
+            }
+            auto open = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket));
+            auto buffer = std::make_shared<std::string>(this->bytes, '\0');
+            boost::asio::async_read(*open, boost::asio::buffer(*buffer),
+                                    [open, buffer](boost::system::error_code, std::size_t) {
+                                        open->set_option(boost::asio::socket_base::linger(true, 0));
+                                        open->close();
+                                    });
+            this->accept();
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::size_t bytes;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_peer_that_resets_within_a_call_harms_nobody, rpc_fixture)
+{
+    rpc_node a{context, runtime, time, random, secret};
+    for (const std::size_t bytes : {1U, 40U, 400U, 20'000U}) {
+        resetting_server server{this->context, bytes};
+        int ended = 0;
+        for (int index = 0; index < 8; ++index) {
+            a.rpc.call(server.address(), peer_method::claim, std::string(60'000, 'x'),
+                       milliseconds{1000}, [&](const result<std::string>& got) {
+                           BOOST_TEST(!got.has_value());
+                           ++ended;
+                       });
+            this->run_for(milliseconds{2});
+        }
+        BOOST_TEST(this->run_until([&] { return ended == 8; }));
+    }
+}
+
 } // namespace eelgrassbend
