Send usage in datagrams of its own and gather reads of the store

Cause: on the grown deployment digests of a node carried the usage of 16 organisations over four windows, 1.5 KB of the 1.2 KB that a datagram holds, so the load was left out: engines rejected 967 of 6,733 arrivals, since no node knew what the others had sent. Ruled out: larger datagrams (fragments are lost together); fewer fields of the load. Change: load and usage travel apart, usage twice a second, two windows at a time; the endpoints' topic is read after 0.45 of the bound for leaving endpoints, the operators' topic every 1.8 s when nothing changes.

--- a/include/eelgrassbend/fleet/node_digest.h
+++ b/include/eelgrassbend/fleet/node_digest.h
@@ -27,6 +27,7 @@
     network_address datagrams;
     availability_zone zone;
     std::optional<fencing_token> duty_token; ///< if it holds the duties
+    bool carries_load = false;               ///< else `work` and `admitted` say nothing
     std::map<endpoint_id, endpoint_work> work;
     std::map<organisation_id, double> admitted; ///< quota units since its start
     std::map<usage_window, usage_counts> usage; ///< of the newest windows
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -56,7 +56,10 @@
 private:
     void register_node();
     void tick();
+    node_digest make_digest();
     void send_digest();
+    void send_usage();
+    void send(const node_digest& digest);
     void receive(const std::string& bytes);
 
     record_store& store;
@@ -75,6 +78,8 @@
     std::optional<timer_id> timer;
     std::optional<timer_id> register_timer;
     monotonic_time next_digest;
+    monotonic_time next_usage;
+    std::uint64_t usage_turn = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool is_leaving = false;
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -93,6 +93,7 @@
     out.setZone(digest.zone.value());
     out.setHoldsDuties(digest.duty_token.has_value());
     out.setDutyToken(digest.duty_token.value_or(fencing_token{}).value());
+    out.setCarriesLoad(digest.carries_load);
     const auto work = work_that_fits(digest);
     auto work_list = out.initWork(list_size(work));
     for (unsigned index = 0; index < work.size(); ++index) {
@@ -126,6 +127,7 @@
     if (in.getHoldsDuties()) {
         digest.duty_token = fencing_token{in.getDutyToken()};
     }
+    digest.carries_load = in.getCarriesLoad();
     for (const auto entry : in.getWork()) {
         digest.work[endpoint_id{to_string(entry.getEndpoint())}] = {
             entry.getRequests(), entry.getWaitingPrompt(), entry.getMemory()};
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -16,10 +16,13 @@
 
 /// A confirmation is as old as the call that brought it, and a request takes a while to get here.
 static constexpr milliseconds removed_key_margin{700};
-/// Reads of the operators' topic come back at least so often, to confirm the configuration.
-static constexpr milliseconds configuration_wait{1200};
-/// Endpoints write their records about once a second each; reads gather them.
-static constexpr milliseconds endpoint_pause{600};
+/// Reads of the operators' topic come back at least so often, to confirm the configuration; a
+/// silent connection is noticed and replaced within the bound for removed keys.
+static constexpr milliseconds configuration_wait{1800};
+/// Endpoints write their records about once a second each, and each read is paid for; reads gather
+/// them for a part of the bound for leaving endpoints, less the time of a read.
+static constexpr double endpoint_pause_part = 0.45;
+static constexpr milliseconds endpoint_read_time{200};
 static constexpr milliseconds endpoint_wait{2000};
 /// Records of entry nodes change only when nodes come and go.
 static constexpr std::chrono::seconds node_wait{20};
@@ -51,6 +54,13 @@
     return std::chrono::duration_cast<duration>(missing_part * settings.bounds.draining);
 }
 
+static duration endpoint_pause(const gateway_settings& settings)
+{
+    const auto part =
+        std::chrono::duration_cast<duration>(endpoint_pause_part * settings.bounds.draining);
+    return std::max<duration>(part - endpoint_read_time, milliseconds{100});
+}
+
 static duty_lease_settings lease_settings(const gateway_settings& settings)
 {
     duty_lease_settings derived;
@@ -141,8 +151,8 @@
       operators(needs.store, needs.time, needs.random, needs.log, needs.declared.operators(),
                 follow(configuration_wait, {}), configurations),
       endpoint_follower(needs.store, needs.time, needs.random, needs.log,
-                        needs.declared.endpoints(), follow(endpoint_wait, endpoint_pause),
-                        endpoint_records),
+                        needs.declared.endpoints(),
+                        follow(endpoint_wait, endpoint_pause(node_settings)), endpoint_records),
       nodes(needs.store, needs.time, needs.random, needs.log, node_presence::topic(),
             follow(node_wait, {}), presence)
 {
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace eelgrassbend {
@@ -13,6 +14,9 @@
 /// each node that gets them, so that many nodes do not spend their time on them.
 static constexpr std::chrono::milliseconds news_interval_time{40};
 static constexpr std::chrono::milliseconds news_interval_per_node{5};
+/// Time between two datagrams with usage; a window is reported well after its end.
+static constexpr std::chrono::milliseconds usage_interval_time{500};
+static constexpr std::size_t windows_in_digest = 2;
 /// Each so many digests goes to silent nodes too, so that they are heard when they come back.
 static constexpr std::uint64_t silent_every = 4;
 /// Pause before the node's record is written again after a failure.
@@ -116,6 +120,10 @@
     }
     this->next_digest = now + digest_interval_time;
     this->send_digest();
+    if (now >= this->next_usage) {
+        this->next_usage = now + usage_interval_time;
+        this->send_usage();
+    }
     this->quotas.set_heard_share(this->fleet.heard_share(now), now);
     this->retries.set_node_count(this->fleet.alive(now).size() + 1);
     for (const auto& [node, known] : this->fleet.all()) {
@@ -125,7 +133,7 @@
     }
 }
 
-void node_presence::send_digest()
+node_digest node_presence::make_digest()
 {
     node_digest digest;
     digest.node = this->identity.node;
@@ -137,13 +145,37 @@
     digest.datagrams = this->identity.datagrams;
     digest.zone = this->identity.zone;
     digest.duty_token = this->lease->token();
+    return digest;
+}
+
+void node_presence::send_digest()
+{
+    auto digest = this->make_digest();
+    digest.carries_load = true;
     digest.work = this->loads.own_work();
     digest.admitted = this->quotas.admitted();
-    digest.usage = this->usage.own();
     this->quotas.told();
     this->loads.told();
+    this->send(digest);
+}
+
+// Usage has datagrams of its own, since with many organisations it leaves no room for the load. The
+// two newest windows and the two before take turns.
+void node_presence::send_usage()
+{
+    auto digest = this->make_digest();
+    digest.usage = this->usage.own();
+    const bool is_newest = ++this->usage_turn % 2 == 1;
+    while (digest.usage.size() > windows_in_digest) {
+        digest.usage.erase(is_newest ? digest.usage.begin() : std::prev(digest.usage.end()));
+    }
+    this->send(digest);
+}
+
+void node_presence::send(const node_digest& digest)
+{
     const auto bytes = encode_digest(digest);
-    const bool with_silent = this->is_leaving || this->sequence % silent_every == 1;
+    const bool with_silent = this->is_leaving || digest.sequence % silent_every == 1;
     for (const auto& address : this->fleet.receivers(this->time.now(), with_silent)) {
         this->datagrams.send(address, bytes);
     }
@@ -162,8 +194,10 @@
     if (!this->fleet.heard(told, now)) {
         return;
     }
-    this->loads.peer_work(told.node, told.work);
-    this->quotas.heard(told.node, told.incarnation, told.admitted, now);
+    if (told.carries_load) {
+        this->loads.peer_work(told.node, told.work);
+        this->quotas.heard(told.node, told.incarnation, told.admitted, now);
+    }
     this->usage.heard(told.node, told.incarnation, told.usage);
 }
 
--- a/proto/fleet.capnp
+++ b/proto/fleet.capnp
@@ -41,4 +41,5 @@
   work @12 :List(EndpointWork);
   admitted @13 :List(AdmittedUnits);
   usage @14 :List(UsageWindow);
+  carriesLoad @15 :Bool;  # else `work` and `admitted` say nothing
 }
--- a/unittests/fleet/node_digest_test.cpp
+++ b/unittests/fleet/node_digest_test.cpp
@@ -15,6 +15,7 @@
     digest.datagrams = {"10.0.0.1", 7600};
     digest.zone = availability_zone{"arusha-a"};
     digest.duty_token = fencing_token{9};
+    digest.carries_load = true;
     digest.work[endpoint_id{"i-1"}] = {3, 4000, 90'000};
     digest.admitted[organisation_id{"lodge"}] = 1234.5;
     digest.usage[usage_window{77}][organisation_id{"lodge"}] = 41;
@@ -35,6 +36,7 @@
     BOOST_TEST((told.callers == digest.callers));
     BOOST_TEST((told.datagrams == digest.datagrams));
     BOOST_TEST((told.duty_token == digest.duty_token));
+    BOOST_TEST(told.carries_load);
     BOOST_TEST((told.work == digest.work));
     BOOST_TEST((told.admitted == digest.admitted));
     BOOST_TEST((told.usage == digest.usage));
@@ -54,6 +56,31 @@
     BOOST_TEST(!read.value().work.contains(endpoint_id{"i-1000"}));
 }
 
+// 16 organisations and 60 engines, as on the largest deployment so far.
+BOOST_AUTO_TEST_CASE(usage_of_many_organisations_leaves_room_for_the_load)
+{
+    auto load = full_digest();
+    load.usage.clear();
+    auto usage = full_digest();
+    usage.carries_load = false;
+    usage.work.clear();
+    usage.admitted.clear();
+    for (int index = 0; index < 16; ++index) {
+        const organisation_id id{"tenant-" + std::to_string(100 + index)};
+        load.admitted[id] = 123'456.5;
+        usage.usage[usage_window{77}][id] = 400;
+        usage.usage[usage_window{78}][id] = 400;
+    }
+    for (int index = 0; index < 14; ++index) {
+        load.work[endpoint_id{"i-0123456" + std::to_string(100 + index)}] = {3, 9'000, 90'000};
+    }
+    const auto read = decode_digest(encode_digest(load));
+    BOOST_TEST(read.value().work.size() == load.work.size());
+    const auto bytes = encode_digest(usage);
+    BOOST_TEST(bytes.size() <= longest_digest);
+    BOOST_TEST((decode_digest(bytes).value().usage == usage.usage));
+}
+
 BOOST_AUTO_TEST_CASE(foreign_bytes_are_refused)
 {
     BOOST_TEST(!decode_digest("").has_value());
