Bound the volume of the gateway's log

Cause: the users ask that the volume of logs stays bounded under load; three lines a request had no bound. Change: a decorator passes on 200 ordinary lines and 200 warnings a second and counts what it drops. Result: its tests play a flood, a warning within one, and a steady rate.

--- a/tools/eelgrassbend-gateway/gateway_services.cpp
+++ b/tools/eelgrassbend-gateway/gateway_services.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassbend/gateway/gateway.h"
 #include "eelgrassbend/kernel/hosted.h"
+#include "eelgrassbend/logging/bounded_event_log.h"
 #include "eelgrassbend/logging/json_event_log.h"
 #include "eelgrassbend/metrics/prometheus_metrics.h"
 #include "eelgrassbend/net/asio_datagrams.h"
@@ -29,6 +30,8 @@
 static constexpr std::chrono::milliseconds connect_timeout{400};
 /// Copies take milliseconds; what takes longer is queued behind others, or the engine is gone.
 static constexpr std::chrono::milliseconds move_timeout{1000};
+/// Three lines a request at four times the usual load of a node.
+static constexpr double log_lines_per_second = 200.0;
 /// An endpoint sends at most a second answer to a request now and then.
 static constexpr int most_skipped_answers = 4;
 
@@ -138,11 +141,18 @@
     }
     const std::vector<std::pair<std::vector<std::string>, registration>> dependent{
         {{"scheduler"},
-         {"event_log",
+         {"log_output",
           [settings](const resolved_services& needs) {
               return std::make_shared<hosted<json_event_log>>(
                   needs.get<scheduler>("scheduler"), settings.node, level_of(settings.log_level));
           }}},
+        {{"log_output", "scheduler"},
+         {"event_log",
+          [](const resolved_services& needs) {
+              return std::make_shared<hosted<bounded_event_log>>(needs.get<event_log>("log_output"),
+                                                                 needs.get<scheduler>("scheduler"),
+                                                                 log_lines_per_second);
+          }}},
         {{"http_client"},
          {"store",
           [settings](const resolved_services& needs) {
--- /dev/null
+++ b/unittests/logging/bounded_event_log_test.cpp
@@ -0,0 +1,55 @@
+#include "eelgrassbend/logging/bounded_event_log.h"
+
+#include "eelgrassbend/support/virtual_scheduler.h"
+
+#include "fakes/fake_event_log.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_CASE(a_flood_of_lines_is_bounded_and_counted)
+{
+    virtual_scheduler time;
+    fake_event_log target;
+    bounded_event_log log{target, time, 100.0};
+    for (int index = 0; index < 1000; ++index) {
+        log.write(log_level::info, "route", {});
+    }
+    BOOST_TEST(target.count("route") == 100U);
+    time.run_for(milliseconds{500});
+    log.write(log_level::info, "route", {});
+    BOOST_TEST(target.count("route") == 101U);
+    BOOST_REQUIRE(target.count("lines_dropped") == 1U);
+    BOOST_TEST(target.events[100].second["count"] == 900);
+}
+
+BOOST_AUTO_TEST_CASE(ordinary_lines_do_not_hide_warnings)
+{
+    virtual_scheduler time;
+    fake_event_log target;
+    bounded_event_log log{target, time, 10.0};
+    for (int index = 0; index < 100; ++index) {
+        log.write(log_level::info, "route", {});
+    }
+    log.write(log_level::warning, "attempt_failed", {});
+    BOOST_TEST(target.count("attempt_failed") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_steady_rate_below_the_bound_passes_whole)
+{
+    virtual_scheduler time;
+    fake_event_log target;
+    bounded_event_log log{target, time, 100.0};
+    for (int index = 0; index < 500; ++index) {
+        time.run_for(milliseconds{20});
+        log.write(log_level::info, "route", {});
+    }
+    BOOST_TEST(target.count("route") == 500U);
+    BOOST_TEST(target.count("lines_dropped") == 0U);
+}
+
+} // namespace eelgrassbend
