--- a/include/eelgrassbend/limits/fleet_quota.h
+++ b/include/eelgrassbend/limits/fleet_quota.h
@@ -32,10 +32,10 @@
                const std::map<organisation_id, double>& admitted, monotonic_time now);
 
     /// Whether so much was admitted since the last digest that the others should hear of it now.
-    [[nodiscard]] bool has_news() const { return this->news; }
+    [[nodiscard]] bool needs_digest() const { return this->is_urgent; }
 
     /// A digest with the totals was sent.
-    void told();
+    void digest_sent();
 
     /// This node's running totals.
     [[nodiscard]] const std::map<organisation_id, double>& admitted() const { return this->totals; }
@@ -54,7 +54,7 @@
 
     duration window;
     double share = 1.0;
-    bool news = false;
+    bool is_urgent = false;
     std::map<organisation_id, double> since_digest;
     std::map<organisation_id, account> accounts;
     std::map<organisation_id, double> totals;
--- a/include/eelgrassbend/placement/load_model.h
+++ b/include/eelgrassbend/placement/load_model.h
@@ -62,10 +62,10 @@
 
     /// Whether this node's own work has changed so much since the last digest that the others
     /// should hear of it now.
-    [[nodiscard]] bool has_news() const { return this->untold_prompt > news_prompt; }
+    [[nodiscard]] bool needs_digest() const { return this->unsent_prompt > urgent_prompt; }
 
     /// A digest with the own work was sent.
-    void told() { this->untold_prompt = 0; }
+    void digest_sent() { this->unsent_prompt = 0; }
 
     /// Work of all nodes, as far as known.
     [[nodiscard]] endpoint_work total(const endpoint_id& endpoint) const;
@@ -101,10 +101,10 @@
     };
 
     /// Prompt tokens that others should hear of at once; about 80 ms of an engine's time.
-    static constexpr std::int64_t news_prompt = 4'000;
+    static constexpr std::int64_t urgent_prompt = 4'000;
 
     attempt_number next = 1;
-    std::int64_t untold_prompt = 0;
+    std::int64_t unsent_prompt = 0;
     std::unordered_map<attempt_number, attempt_state> attempts;
     std::map<endpoint_id, endpoint_state> endpoints;
     std::map<node_id, std::map<endpoint_id, endpoint_work>> peers;
--- a/include/eelgrassbend/routes/route_table.h
+++ b/include/eelgrassbend/routes/route_table.h
@@ -24,8 +24,8 @@
     [[nodiscard]] const organisation* find_key(const std::string& key) const;
     [[nodiscard]] const routed_service* find_service(const service_id& id) const;
 
-    /// The shortest goal of a service's streams; nothing if it has none.
-    [[nodiscard]] std::optional<duration> shortest_goal(const service_id& id) const;
+    /// The shortest objective of a service's streams; nothing if it has none.
+    [[nodiscard]] std::optional<duration> shortest_objective(const service_id& id) const;
 
     [[nodiscard]] configuration_version version() const { return this->held.version; }
 
@@ -36,7 +36,7 @@
     std::unordered_map<std::string, std::vector<const route*>> by_host; ///< longest prefix first
     std::unordered_map<std::string, const organisation*> by_key;
     std::unordered_map<service_id, const routed_service*> by_service;
-    std::unordered_map<service_id, duration> goals; ///< shortest of each service's streams
+    std::unordered_map<service_id, duration> objectives; ///< shortest of each service's streams
 };
 
 /// The service of a route's split for a request; `draw` lies in [0, 1).
--- a/include/eelgrassbend/routes/routing_configuration.h
+++ b/include/eelgrassbend/routes/routing_configuration.h
@@ -35,7 +35,7 @@
     request_kind kind = request_kind::non_idempotent;
     std::vector<service_share> split; ///< never empty
     duration timeout{};               ///< longest time until the final answer
-    duration goal{};                  ///< until the answer, or the first event of a stream
+    duration objective{};             ///< until the answer, or the first event of a stream
     duration longest_gap{};           ///< between events of a stream; zero: not bounded
     std::int32_t priority = 0;        ///< 0 is the most urgent
     int max_endpoints = 1;            ///< that one request may be sent to
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -81,8 +81,8 @@
     void wait_for_room(const placement_answer& answer);
     void dispatch(const placement& where);
     [[nodiscard]] endpoint_request make_attempt(const placement& where) const;
-    void arm_patience(const placement& where);
-    void out_of_patience();
+    void arm_first_byte_timer(const placement& where);
+    void first_byte_overdue();
     void log_placement(const placement& where) const;
     void answer_began();
     void pass_events(std::string_view bytes);
@@ -121,7 +121,7 @@
     std::string last_event; ///< that the caller got
     std::optional<timer_id> final_timer;
     std::optional<timer_id> place_timer;
-    std::optional<timer_id> patience_timer;
+    std::optional<timer_id> first_byte_timer;
     std::optional<timer_id> move_timer;
     std::optional<run_move> move;
     std::string memory_source;                 ///< for the next attempt of a moved run
--- a/include/eelgrassbend/serving/forward_protocol.h
+++ b/include/eelgrassbend/serving/forward_protocol.h
@@ -42,7 +42,7 @@
     int status = 0;
     request_id id;           ///< empty if the endpoint did not echo it
     bool is_not_run = false; ///< the endpoint states that it did not run the request
-    bool is_proven = false;  ///< carries the endpoint's proof of the answer
+    bool is_signed = false;  ///< carries the endpoint's signature of the answer
     std::optional<reported_load> load;
     header_list headers; ///< for the caller
 
--- a/include/eelgrassbend/serving/forward_services.h
+++ b/include/eelgrassbend/serving/forward_services.h
@@ -26,23 +26,23 @@
     /// A configuration that was not confirmed for so long may miss the removal of a key. Below
     /// the bound for removals, less the time of a request on its way here.
     duration configuration_staleness = std::chrono::milliseconds{4300};
-    /// Part of a request's goal for which it may wait here for an endpoint with room; callers
+    /// Part of a request's objective for which it may wait here for an endpoint with room; callers
     /// lose nothing by a refusal that comes that early.
     double hold_part = 0.12;
-    /// Part of the shortest goal of a service's streams that a prompt may wait at an engine behind
-    /// others, for the most urgent requests, and what is left of it with each priority.
+    /// Part of the shortest objective of a service's streams that a prompt may wait at an engine
+    /// behind others, for the most urgent requests, and what is left of it with each priority.
     double wait_part = 0.7;
     double wait_part_per_priority = 0.85;
     /// Between two looks for an endpoint with room.
     duration placement_pause = std::chrono::milliseconds{15};
-    /// Least and most time that a refused caller is told to stay away.
+    /// Least and most time that a refused caller is asked to wait.
     duration least_retry_after = std::chrono::milliseconds{100};
     duration most_retry_after = std::chrono::seconds{2};
     /// Time for which a request that may be repeated waits for its first byte before it goes
     /// elsewhere: a multiple of the prediction, within these bounds.
-    double patience = 5.0;
-    duration least_patience = std::chrono::milliseconds{150};
-    duration most_patience = std::chrono::milliseconds{1500};
+    double first_byte_factor = 5.0;
+    duration shortest_first_byte_timeout = std::chrono::milliseconds{150};
+    duration longest_first_byte_timeout = std::chrono::milliseconds{1500};
     /// Before the announced end of an engine: for a move with its two calls and a second try. The
     /// announcement is some hundred milliseconds old.
     duration move_margin = std::chrono::milliseconds{1000};
--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -14,7 +14,7 @@
 namespace eelgrassbend {
 
 struct follower_settings {
-    /// Longest time that a read waits at the store for news.
+    /// Longest time that a read waits at the store for a record.
     duration longest_wait = std::chrono::seconds{2};
     /// Pause between reads, for topics that change more often than is worth a call.
     duration pause{};
--- a/lib/duties/scaling_plan.cpp
+++ b/lib/duties/scaling_plan.cpp
@@ -7,7 +7,7 @@
 namespace eelgrassbend {
 
 /// Requests under way for which one engine is planned; with more, the prompts of some delay the
-/// first tokens of others beyond their goal.
+/// first tokens of others beyond their objective.
 static constexpr double requests_per_endpoint = 5.0;
 /// Reclaimable endpoints kept in each zone, whatever the load: a burst is there before a new one
 /// has started.
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -90,8 +90,8 @@
     void take_table(std::shared_ptr<const route_table> table);
     void endpoint_changed(const endpoint_record& record, bool is_gone);
     void endpoint_leaving(const endpoint_record& record, int asked);
-    void leaving_told(endpoint_record record, int asked,
-                      const result<std::optional<duration>>& answer);
+    void leaving_answered(endpoint_record record, int asked,
+                          const result<std::optional<duration>>& answer);
 
     gateway_needs needs;
     gateway_settings settings;
@@ -207,15 +207,15 @@
                                   [this, record, asked, weak = std::weak_ptr<int>(this->alive)](
                                       const result<std::optional<duration>>& answer) {
                                       if (!weak.expired()) {
-                                          this->leaving_told(record, asked + 1, answer);
+                                          this->leaving_answered(record, asked + 1, answer);
                                       }
                                   });
 }
 
 // An engine's report is a little old: the first one may come from before the notice. One that does
 // not answer may be taken at any moment.
-void gateway::parts::leaving_told(endpoint_record record, int asked,
-                                  const result<std::optional<duration>>& answer)
+void gateway::parts::leaving_answered(endpoint_record record, int asked,
+                                      const result<std::optional<duration>>& answer)
 {
     record.leaves_in = answer ? answer.value() : duration::zero();
     this->needs.log.write(
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -10,10 +10,10 @@
 
 /// Time between two digests; a node that is silent for several is taken out of the directory.
 static constexpr std::chrono::milliseconds digest_interval_time{250};
-/// Least time between two digests where one has news that cannot wait: for a few nodes, and for
+/// Least time between two digests where the next one is urgent: for a few nodes, and for
 /// each node that gets them, so that many nodes do not spend their time on them.
-static constexpr std::chrono::milliseconds news_interval_time{40};
-static constexpr std::chrono::milliseconds news_interval_per_node{5};
+static constexpr std::chrono::milliseconds urgent_interval_time{40};
+static constexpr std::chrono::milliseconds urgent_interval_per_node{5};
 /// Time between two datagrams with usage; a window is reported well after its end.
 static constexpr std::chrono::milliseconds usage_interval_time{500};
 static constexpr std::size_t windows_in_digest = 2;
@@ -112,10 +112,10 @@
     const auto now = this->time.now();
     const auto nodes = static_cast<std::int64_t>(this->fleet.alive(now).size());
     const auto pause =
-        std::clamp(news_interval_per_node * nodes, news_interval_time, digest_interval_time);
+        std::clamp(urgent_interval_per_node * nodes, urgent_interval_time, digest_interval_time);
     this->timer = this->time.call_after(pause, [this] { this->tick(); });
-    const bool has_news = this->quotas.has_news() || this->loads.has_news();
-    if (now < this->next_digest && !has_news) {
+    const bool needs_digest = this->quotas.needs_digest() || this->loads.needs_digest();
+    if (now < this->next_digest && !needs_digest) {
         return;
     }
     this->next_digest = now + digest_interval_time;
@@ -154,8 +154,8 @@
     digest.carries_load = true;
     digest.work = this->loads.own_work();
     digest.admitted = this->quotas.admitted();
-    this->quotas.told();
-    this->loads.told();
+    this->quotas.digest_sent();
+    this->loads.digest_sent();
     this->send(digest);
 }
 
--- a/lib/limits/fleet_quota.cpp
+++ b/lib/limits/fleet_quota.cpp
@@ -12,7 +12,7 @@
 /// the rate. Otherwise large requests would wait for a full bucket while small ones empty it.
 static constexpr double admitting_part = 0.1;
 /// Units of one organisation, as a part of its burst, that the others should hear of at once.
-static constexpr double news_part = 0.04;
+static constexpr double urgent_part = 0.04;
 
 void fleet_quota::configure(const std::vector<organisation>& organisations, monotonic_time now)
 {
@@ -62,16 +62,16 @@
     }
     this->totals[id] += units;
     if (found != this->accounts.end()) {
-        auto& untold = this->since_digest[id];
-        untold += units;
-        this->news = this->news || untold > news_part * found->second.burst;
+        auto& unsent = this->since_digest[id];
+        unsent += units;
+        this->is_urgent = this->is_urgent || unsent > urgent_part * found->second.burst;
     }
     return std::nullopt;
 }
 
-void fleet_quota::told()
+void fleet_quota::digest_sent()
 {
-    this->news = false;
+    this->is_urgent = false;
     this->since_digest.clear();
 }
 
--- a/lib/placement/load_model.cpp
+++ b/lib/placement/load_model.cpp
@@ -43,7 +43,7 @@
     const auto number = this->next++;
     this->attempts[number] = {endpoint, work, predicted, now, false};
     this->endpoints[endpoint].own += {1, work.uncached_prompt, work.memory};
-    this->untold_prompt += work.uncached_prompt;
+    this->unsent_prompt += work.uncached_prompt;
     return number;
 }
 
@@ -55,7 +55,7 @@
     }
     auto& state = this->endpoints[found->second.endpoint];
     state.own.waiting_prompt -= found->second.work.uncached_prompt;
-    this->untold_prompt += found->second.work.uncached_prompt;
+    this->unsent_prompt += found->second.work.uncached_prompt;
     const std::chrono::duration<double> predicted{found->second.predicted};
     const std::chrono::duration<double> seen{now - found->second.began};
     if (predicted.count() <= 0.0) {
--- a/lib/routes/route_table.cpp
+++ b/lib/routes/route_table.cpp
@@ -18,12 +18,12 @@
 {
     for (const auto& entry : this->held.routes) {
         this->by_host[normal_host(entry.host)].push_back(&entry);
-        if (entry.kind != request_kind::stream || entry.goal <= duration::zero()) {
+        if (entry.kind != request_kind::stream || entry.objective <= duration::zero()) {
             continue;
         }
         for (const auto& share : entry.split) {
-            const auto [known, is_new] = this->goals.emplace(share.service, entry.goal);
-            known->second = std::min(known->second, entry.goal);
+            const auto [known, is_new] = this->objectives.emplace(share.service, entry.objective);
+            known->second = std::min(known->second, entry.objective);
         }
     }
     for (auto& [host, routes] : this->by_host) {
@@ -68,10 +68,10 @@
     return found == this->by_service.end() ? nullptr : found->second;
 }
 
-std::optional<duration> route_table::shortest_goal(const service_id& id) const
+std::optional<duration> route_table::shortest_objective(const service_id& id) const
 {
-    const auto found = this->goals.find(id);
-    return found == this->goals.end() ? std::nullopt : std::optional{found->second};
+    const auto found = this->objectives.find(id);
+    return found == this->objectives.end() ? std::nullopt : std::optional{found->second};
 }
 
 const service_id& pick_service(const route& chosen, double draw)
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -29,11 +29,11 @@
 static constexpr const char* before_first_event = "0";
 /// Least urgent rank that engines know.
 static constexpr int last_rank = 9;
-/// Ranks between two priorities, so that requests with a short goal go before those with a long
-/// one within a priority.
+/// Ranks between two priorities, so that requests with a short objective go before those with a
+/// long one within a priority.
 static constexpr int ranks_per_priority = 2;
-/// Streams with a goal above this leave the first place to shorter ones.
-static constexpr std::chrono::milliseconds short_goal{800};
+/// Streams with a objective above this leave the first place to shorter ones.
+static constexpr std::chrono::milliseconds short_objective{800};
 
 static std::int64_t whole_milliseconds(duration span)
 {
@@ -51,7 +51,7 @@
 {
     this->cancel_timer(this->final_timer);
     this->cancel_timer(this->place_timer);
-    this->cancel_timer(this->patience_timer);
+    this->cancel_timer(this->first_byte_timer);
     this->cancel_timer(this->move_timer);
 }
 
@@ -105,18 +105,18 @@
 }
 
 // Engines read prompts in the order in which they come, so what waits there for long delays the
-// requests with the shortest goal too. The less urgent a request, the shorter the wait that it may
-// add to; so the more urgent ones find room as long as there is any.
+// requests with the shortest objective too. The less urgent a request, the shorter the wait that it
+// may add to; so the more urgent ones find room as long as there is any.
 std::optional<duration> forward_flow::longest_wait() const
 {
-    const auto goal = this->request.table->shortest_goal(this->request.target);
-    if (!goal || this->stream_started) {
+    const auto objective = this->request.table->shortest_objective(this->request.target);
+    if (!objective || this->stream_started) {
         return std::nullopt;
     }
     const auto& settings = this->services.settings;
     const double part =
         settings.wait_part * std::pow(settings.wait_part_per_priority, this->request.priority);
-    return std::chrono::duration_cast<duration>(part * *goal);
+    return std::chrono::duration_cast<duration>(part * *objective);
 }
 
 std::optional<engine_traits> forward_flow::engine() const
@@ -135,7 +135,7 @@
     this->wait_for_room(found);
 }
 
-// Callers lose nothing by a refusal that comes early, and can come back while their goal can
+// Callers lose nothing by a refusal that comes early, and can come back while their objective can
 // still be met. A stream that has begun can only go on or be lost, so it waits.
 void forward_flow::wait_for_room(const placement_answer& found)
 {
@@ -144,7 +144,7 @@
         this->waiting_since = now;
     }
     const auto hold = std::chrono::duration_cast<duration>(this->services.settings.hold_part *
-                                                           this->request.chosen->goal);
+                                                           this->request.chosen->objective);
     const bool has_room_soon =
         found.reason == placement_failure::all_full &&
         now - *this->waiting_since + this->services.settings.placement_pause < hold;
@@ -192,7 +192,7 @@
     this->handle =
         this->services.client.dispatch(chosen.address, this->make_attempt(chosen), *this);
     this->memory_source.clear();
-    this->arm_patience(chosen);
+    this->arm_first_byte_timer(chosen);
 }
 
 endpoint_request forward_flow::make_attempt(const placement& chosen) const
@@ -207,7 +207,7 @@
         order.last_event = before_first_event;
     }
     if (this->engine()) {
-        const bool is_long = this->request.chosen->goal > short_goal;
+        const bool is_long = this->request.chosen->objective > short_objective;
         order.urgency = std::clamp(ranks_per_priority * this->request.priority + (is_long ? 1 : 0),
                                    0, last_rank);
     }
@@ -221,26 +221,27 @@
 }
 
 // Only what may be repeated can leave a silent endpoint; anything else waits for its answer.
-void forward_flow::arm_patience(const placement& chosen)
+void forward_flow::arm_first_byte_timer(const placement& chosen)
 {
-    this->cancel_timer(this->patience_timer);
+    this->cancel_timer(this->first_byte_timer);
     if (!this->may_go_elsewhere()) {
         return;
     }
     const auto& settings = this->services.settings;
-    const auto expected =
-        std::chrono::duration_cast<duration>(settings.patience * chosen.pace * chosen.predicted);
-    const auto patience = std::clamp(expected, settings.least_patience, settings.most_patience);
-    this->patience_timer =
-        this->services.time.call_after(patience, [weak = this->weak_from_this()] {
+    const auto expected = std::chrono::duration_cast<duration>(settings.first_byte_factor *
+                                                               chosen.pace * chosen.predicted);
+    const auto timeout = std::clamp(expected, settings.shortest_first_byte_timeout,
+                                    settings.longest_first_byte_timeout);
+    this->first_byte_timer =
+        this->services.time.call_after(timeout, [weak = this->weak_from_this()] {
             if (const auto self = weak.lock(); self && self->open) {
-                self->patience_timer.reset();
-                self->out_of_patience();
+                self->first_byte_timer.reset();
+                self->first_byte_overdue();
             }
         });
 }
 
-void forward_flow::out_of_patience()
+void forward_flow::first_byte_overdue()
 {
     if (!this->handle || this->answer) {
         return;
@@ -275,7 +276,7 @@
 void forward_flow::head(int status, const header_list& headers)
 {
     const auto self = this->shared_from_this();
-    this->cancel_timer(this->patience_timer);
+    this->cancel_timer(this->first_byte_timer);
     this->answer = this->services.protocol.read_answer(status, headers);
     if (this->answer->load) {
         this->services.loads.reported(this->where.endpoint, *this->answer->load,
@@ -289,11 +290,11 @@
     this->answer_began();
     const bool is_promise = std::find(promising_statuses.begin(), promising_statuses.end(),
                                       status) != promising_statuses.end();
-    const bool is_own = this->answer->is_proven && this->answer->id == this->request.facts.id;
+    const bool is_own = this->answer->is_signed && this->answer->id == this->request.facts.id;
     if (is_promise || (this->answer->is_success() && !is_own)) {
         this->attempt_broke(make_error(
             errc::mismatched, "read answer", this->where.endpoint.value(),
-            "status " + std::to_string(status) + " without proof that it is the answer"));
+            "status " + std::to_string(status) + " without the signature of the answer"));
         return;
     }
     // A run that goes on keeps the head of its beginning; one that starts again has a new one.
@@ -407,7 +408,7 @@
 void forward_flow::failed(const error& reason, dispatch_state dispatched)
 {
     const auto self = this->shared_from_this();
-    this->cancel_timer(this->patience_timer);
+    this->cancel_timer(this->first_byte_timer);
     if (this->ended_for_move()) {
         return;
     }
@@ -532,7 +533,7 @@
     const auto self = this->shared_from_this();
     this->cancel_timer(this->final_timer);
     this->cancel_timer(this->place_timer);
-    this->cancel_timer(this->patience_timer);
+    this->cancel_timer(this->first_byte_timer);
     this->cancel_timer(this->move_timer);
     this->move.reset();
     const auto spent = this->services.time.now() - this->request.received;
--- a/unittests/limits/fleet_quota_test.cpp
+++ b/unittests/limits/fleet_quota_test.cpp
@@ -120,17 +120,17 @@
     BOOST_TEST(!quota.admit(lodge, 85.0, now).has_value());
 }
 
-BOOST_AUTO_TEST_CASE(much_that_was_admitted_is_news)
+BOOST_AUTO_TEST_CASE(much_that_was_admitted_is_sent_at_once)
 {
     fleet_quota quota{seconds{8}};
     const monotonic_time now{seconds{1000}};
     quota.configure(with_rate(100.0, 2000.0), now - seconds{500});
     quota.admit(lodge, 10.0, now);
-    BOOST_TEST(!quota.has_news());
+    BOOST_TEST(!quota.needs_digest());
     quota.admit(lodge, 100.0, now);
-    BOOST_TEST(quota.has_news());
-    quota.told();
-    BOOST_TEST(!quota.has_news());
+    BOOST_TEST(quota.needs_digest());
+    quota.digest_sent();
+    BOOST_TEST(!quota.needs_digest());
 }
 
 BOOST_AUTO_TEST_CASE(organisations_without_a_limit_are_admitted)
--- a/unittests/placement/placer_test.cpp
+++ b/unittests/placement/placer_test.cpp
@@ -170,7 +170,8 @@
     BOOST_TEST(near >= 15);
 }
 
-// A burst of long prompts: what is taken keeps its goal, and the more urgent kind finds room last.
+// A burst of long prompts: what is taken keeps its objective, and the more urgent kind finds room
+// last.
 BOOST_FIXTURE_TEST_CASE(prompts_wait_behind_others_only_as_long_as_allowed, placer_fixture)
 {
     this->add("e1");
--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -150,7 +150,7 @@
                                             {"X-Eelgrassbend-Load-Report", "3,1,8,150"},
                                             {"Transfer-Encoding", "chunked"},
                                             {"Content-Type", "text/event-stream"}});
-    BOOST_TEST(answer.is_proven);
+    BOOST_TEST(answer.is_signed);
     BOOST_TEST(!answer.is_not_run);
     BOOST_TEST(answer.id.value() == "r-1");
     BOOST_TEST(answer.load->running == 3);
--- a/unittests/platform_adapter/codec_test.cpp
+++ b/unittests/platform_adapter/codec_test.cpp
@@ -82,7 +82,7 @@
     BOOST_TEST(told.routes[0].split.size() == 2U);
     BOOST_TEST(!told.routes[0].is_repeatable());
     BOOST_TEST(told.routes[1].is_repeatable());
-    BOOST_TEST((told.routes[1].goal == std::chrono::milliseconds{500}));
+    BOOST_TEST((told.routes[1].objective == std::chrono::milliseconds{500}));
     BOOST_REQUIRE(told.services.size() == 2U);
     BOOST_TEST((told.services[0].engine->memory == token_count{563'819}));
     BOOST_TEST(told.services[0].scaling->most == 6);
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -53,7 +53,7 @@
         answer.headers = headers;
         for (const auto& [name, value] : headers) {
             answer.is_not_run = answer.is_not_run || name == "Not-Run";
-            answer.is_proven = answer.is_proven || name == "Proof";
+            answer.is_signed = answer.is_signed || name == "Signature";
             if (name == "Id") {
                 answer.id = request_id{value};
             }
@@ -148,7 +148,7 @@
         made.kind = kind;
         made.split = {{service_id{service}, 1.0}};
         made.timeout = std::chrono::seconds{5};
-        made.goal = std::chrono::milliseconds{500};
+        made.objective = std::chrono::milliseconds{500};
         made.max_endpoints = endpoints;
         made.is_resumable = is_resumable;
         return made;
@@ -180,8 +180,8 @@
     void head(int status = 200)
     {
         auto& attempt = this->client.last();
-        attempt.observer->head(
-            status, {{"Id", attempt.request.attempt.value()}, {"Proof", "p-" + this->endpoint()}});
+        attempt.observer->head(status, {{"Id", attempt.request.attempt.value()},
+                                        {"Signature", "p-" + this->endpoint()}});
     }
 
     void body(const std::string& bytes) { this->client.last().observer->body(bytes); }
--- a/unittests/serving/forward_flow_test.cpp
+++ b/unittests/serving/forward_flow_test.cpp
@@ -12,7 +12,7 @@
     return "id: " + std::to_string(number) + "\ndata: x\n\n";
 }
 
-BOOST_FIXTURE_TEST_CASE(an_answer_is_passed_on_whole_with_its_proof, forward_fixture)
+BOOST_FIXTURE_TEST_CASE(an_answer_is_passed_on_whole_with_its_signature, forward_fixture)
 {
     const auto answer = this->send("/order/1");
     this->head(201);
@@ -22,7 +22,7 @@
     this->complete();
     BOOST_TEST(answer->status == 201);
     BOOST_TEST(answer->body == "hello");
-    BOOST_TEST(answer->header("Proof") == "p-" + this->endpoint());
+    BOOST_TEST(answer->header("Signature") == "p-" + this->endpoint());
     BOOST_TEST(this->door.active() == 0U);
 }
 
@@ -34,14 +34,14 @@
     BOOST_TEST(this->sent_header("Time-Left-Ms") == "5000");
 }
 
-BOOST_FIXTURE_TEST_CASE(a_success_without_proof_or_for_another_request_is_no_success,
+BOOST_FIXTURE_TEST_CASE(a_success_without_signature_or_for_another_request_is_no_success,
                         forward_fixture)
 {
-    const auto unproven = this->send("/order/1");
+    const auto unsigned_answer = this->send("/order/1");
     this->client.last().observer->head(200, {{"Id", "r-1"}});
-    BOOST_TEST(unproven->status == 502);
+    BOOST_TEST(unsigned_answer->status == 502);
     const auto crossed = this->send("/order/1");
-    this->client.last().observer->head(200, {{"Id", "r-99"}, {"Proof", "p"}});
+    this->client.last().observer->head(200, {{"Id", "r-99"}, {"Signature", "p"}});
     BOOST_TEST(crossed->status == 502);
 }
 
@@ -110,7 +110,7 @@
 BOOST_FIXTURE_TEST_CASE(an_idempotent_request_leaves_a_silent_endpoint, forward_fixture)
 {
     this->send("/look/1");
-    this->time.run_for(this->settings.most_patience);
+    this->time.run_for(this->settings.longest_first_byte_timeout);
     BOOST_TEST(this->client.attempts.size() == 2U);
     BOOST_TEST(this->client.attempts[0]->observer == nullptr);
 }
@@ -153,7 +153,7 @@
     this->body(event(3));
     this->complete();
     BOOST_TEST(answer->body == event(1) + event(2) + event(3));
-    BOOST_TEST(answer->header("Proof") == "p-" + first);
+    BOOST_TEST(answer->header("Signature") == "p-" + first);
     BOOST_TEST(answer->ended);
 }
 
@@ -265,7 +265,7 @@
     this->body(event(4));
     this->complete();
     BOOST_TEST(answer->body == event(1) + event(2) + event(3) + event(4));
-    BOOST_TEST(answer->header("Proof") == "p-" + first);
+    BOOST_TEST(answer->header("Signature") == "p-" + first);
     BOOST_TEST(answer->ended);
 }
 
