--- a/cmake/components.cmake
+++ b/cmake/components.cmake
@@ -21,10 +21,17 @@
   target_link_libraries(eelgrassbend_${name} PUBLIC eelgrassbend_options ${ARGN})
 endfunction()
 
-# Adds the test program <name>-tests from the sources in the current directory.
+# Adds the test program <name>-tests from the sources in the current directory. The main function
+# is compiled once, so that the linter reads it once.
 function(eelgrassbend_add_tests name)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
-  add_executable(${name}-tests ${sources} ${PROJECT_SOURCE_DIR}/unittests/main.cpp)
+  if(NOT TARGET eelgrassbend_test_main)
+    add_library(eelgrassbend_test_main OBJECT ${PROJECT_SOURCE_DIR}/unittests/main.cpp)
+    target_compile_definitions(eelgrassbend_test_main PRIVATE BOOST_TEST_DYN_LINK)
+    target_link_libraries(eelgrassbend_test_main PRIVATE eelgrassbend_options
+      Boost::unit_test_framework)
+  endif()
+  add_executable(${name}-tests ${sources} $<TARGET_OBJECTS:eelgrassbend_test_main>)
   target_include_directories(${name}-tests PRIVATE ${PROJECT_SOURCE_DIR}/unittests)
   target_compile_definitions(${name}-tests PRIVATE BOOST_TEST_DYN_LINK
     EELGRASSBEND_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
