Keep many nodes from choosing the same endpoint

Cause: each node looked at all endpoints and took the best one by digests that are up to 250 ms old. With 80 nodes all of them sent their next prompts to the same engine. The load of all nodes was also summed up anew for each endpoint of each choice, and overdue attempts were searched in the list of all attempts. A new incarnation of an endpoint dropped the work under way there, so that first bytes afterwards made it negative.

Ruled out: random noise on the scores; to spread 80 nodes it would have to be as large as the differences it is to respect.

Change: with more than ten nodes a choice weighs a random part of the endpoints and the one that the hash prefers, and the rest only if none of these has room. The preferred engine is expected to keep the shared parts in proportion to the number of nodes that send them there, and is counted so in the load as well. Sums over the nodes follow each digest, the oldest attempt of an endpoint is at hand, and a new incarnation loses only what was observed.

--- a/include/eelgrassbend/placement/load_model.h
+++ b/include/eelgrassbend/placement/load_model.h
@@ -7,8 +7,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
-#include <vector>
+#include <utility>
 
 namespace eelgrassbend {
 
@@ -19,6 +20,7 @@
     std::int64_t memory = 0;         ///< tokens that its requests will hold at their end
 
     endpoint_work& operator+=(const endpoint_work& other);
+    endpoint_work& operator-=(const endpoint_work& other);
     friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
 };
 
@@ -55,6 +57,7 @@
     /// Replaces what `node` has under way.
     void peer_work(const node_id& node, std::map<endpoint_id, endpoint_work> work);
     void forget_peer(const node_id& node);
+    /// Forgets what was observed of it: another incarnation may behave differently.
     void forget(const endpoint_id& endpoint);
 
     /// Work of this node alone, for its digest.
@@ -67,6 +70,9 @@
     /// A digest with the own work was sent.
     void digest_sent() { this->unsent_prompt = 0; }
 
+    /// Nodes whose work is known, this one included.
+    [[nodiscard]] std::size_t node_count() const { return this->peers.size() + 1; }
+
     /// Work of all nodes, as far as known.
     [[nodiscard]] endpoint_work total(const endpoint_id& endpoint) const;
     /// How long work takes there against the prediction; 1 without any observation.
@@ -88,8 +94,8 @@
         bool has_started = false;
     };
 
-    struct endpoint_state {
-        endpoint_work own;
+    /// What was observed of an endpoint.
+    struct behaviour {
         double pace = 1.0;
         monotonic_time paced;
         double slowdown = 1.0;
@@ -100,6 +106,16 @@
         std::optional<monotonic_time> suspended_until;
     };
 
+    struct endpoint_state {
+        endpoint_work own;
+        behaviour seen;
+        /// Attempts without a first byte, by the time for which it is predicted.
+        std::set<std::pair<monotonic_time, attempt_number>> awaited;
+    };
+
+    void learn_pace(behaviour& seen, const attempt_state& attempt, monotonic_time now);
+    static void learn_outcome(behaviour& seen, attempt_result how, monotonic_time now);
+
     /// Prompt tokens that others should hear of at once; about 80 ms of an engine's time.
     static constexpr std::int64_t urgent_prompt = 4'000;
 
@@ -108,6 +124,7 @@
     std::unordered_map<attempt_number, attempt_state> attempts;
     std::map<endpoint_id, endpoint_state> endpoints;
     std::map<node_id, std::map<endpoint_id, endpoint_work>> peers;
+    std::map<endpoint_id, endpoint_work> peer_sums; ///< over `peers`
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/placement/placer.h
+++ b/include/eelgrassbend/placement/placer.h
@@ -50,7 +50,8 @@
 /// Chooses the endpoint with the earliest predicted first byte. Answers the load of long prompts
 /// on engines that read them between the tokens of others: prompts spread by the tokens that
 /// still have to be read, and requests that share parts go where these are kept as long as the
-/// wait there stays shorter than reading them again.
+/// wait there stays shorter than reading them again. Many nodes that choose at the same time by the
+/// same digests would all take the same endpoint, so the more nodes, the fewer each looks at.
 class placer {
 public:
     placer(const endpoint_table& endpoints, load_model& loads, prompt_cache& cache,
@@ -60,15 +61,19 @@
                                           const std::optional<engine_traits>& engine,
                                           monotonic_time now) const;
 
-    /// Share of the places of a service's endpoints that are taken, from 0; above 1 with a queue.
-    [[nodiscard]] double occupancy(const service_id& service, monotonic_time now) const;
-
 private:
     struct candidate;
 
-    [[nodiscard]] candidate weigh(const known_endpoint& endpoint, const placement_request& request,
-                                  const std::optional<engine_traits>& engine,
-                                  monotonic_time now) const;
+    /// What a choice weighs up.
+    struct choice_state;
+
+    void weigh_all(const std::vector<const known_endpoint*>& some, choice_state& state) const;
+    [[nodiscard]] candidate weigh(const known_endpoint& endpoint, const choice_state& state) const;
+    void weigh_engine(const known_endpoint& endpoint, const choice_state& state,
+                      candidate& weighed) const;
+    /// Moves the endpoints that this node looks at first to the front and tells their number.
+    std::size_t sample(std::vector<const known_endpoint*>& usable,
+                       const known_endpoint* preferred) const;
 
     const endpoint_table& endpoints;
     load_model& loads;
--- a/lib/placement/placer.cpp
+++ b/lib/placement/placer.cpp
@@ -27,9 +27,13 @@
 static constexpr milliseconds failure_cost{600.0};
 /// Added to endpoints that are avoided, so that they serve only when there are no others.
 static constexpr milliseconds suspended_penalty{20'000.0};
-/// Share of its parts' reading time that counts as saved on the engine that the hash prefers:
-/// other nodes send the same parts there.
-static constexpr double shared_part_credit = 0.5;
+/// Share of its shared parts that the engine that the hash prefers is expected to keep, once all
+/// other nodes have sent the same parts there.
+static constexpr double preferred_kept_share = 0.9;
+/// So many nodes can each look at all endpoints without a herd; their digests are some tens of
+/// milliseconds old. With more nodes a choice looks at a part, but not at fewer than a few.
+static constexpr std::size_t nodes_without_herd = 10;
+static constexpr std::size_t least_sample = 4;
 /// Share of an engine's memory that is planned for; estimates of the output are often too short.
 static constexpr double planned_memory = 0.92;
 /// Requests at an endpoint beyond its slots, as a share of the slots; they wait in its queue.
@@ -84,112 +88,145 @@
     return best;
 }
 
-placer::candidate placer::weigh(const known_endpoint& endpoint, const placement_request& request,
-                                const std::optional<engine_traits>& engine,
-                                monotonic_time now) const
+struct placer::choice_state {
+    const placement_request& request;
+    const std::optional<engine_traits>& engine;
+    monotonic_time now;
+    const known_endpoint* preferred = nullptr;
+    std::optional<candidate> best;
+    std::optional<milliseconds> soonest; ///< wait at the least loaded full endpoint
+};
+
+void placer::weigh_engine(const known_endpoint& endpoint, const choice_state& state,
+                          candidate& weighed) const
+{
+    const auto& request = state.request;
+    auto& result = weighed.result;
+    const auto& load = result.load;
+    result.kept_tokens = this->cache.kept(endpoint.record.id, request.parts, state.now);
+    if (&endpoint == state.preferred) {
+        const auto nodes = static_cast<double>(this->loads.node_count());
+        const double share = preferred_kept_share * (nodes - 1.0) / nodes;
+        result.kept_tokens = std::max(
+            result.kept_tokens,
+            static_cast<std::int64_t>(share * static_cast<double>(shared_tokens(request))));
+    }
+    result.kept_tokens =
+        std::min(result.kept_tokens, std::max<std::int64_t>(0, request.prompt_tokens - 1));
+    result.work.uncached_prompt = request.prompt_tokens - result.kept_tokens;
+    result.work.memory = request.prompt_tokens + request.output_tokens;
+    const auto waiting = std::max<std::int64_t>(0, load.waiting_prompt);
+    const double crowd = 1.0 + slowdown_per_request * load.requests;
+    const milliseconds per_token{crowd / prompt_tokens_per_ms};
+    weighed.predicted = engine_overhead + per_token * static_cast<double>(
+                                                          waiting + result.work.uncached_prompt);
+    weighed.wait = result.pace * per_token * static_cast<double>(waiting);
+    const double planned = planned_memory * static_cast<double>(state.engine->memory.value());
+    const bool has_memory =
+        state.engine->memory.value() == 0 || load.requests == 0 ||
+        static_cast<double>(load.memory + result.work.memory) <= planned;
+    const bool is_late = request.longest_wait && weighed.wait > *request.longest_wait;
+    weighed.is_full = is_late || !has_memory;
+}
+
+placer::candidate placer::weigh(const known_endpoint& endpoint, const choice_state& state) const
 {
     const auto& id = endpoint.record.id;
     candidate weighed;
     weighed.endpoint = &endpoint;
-    const auto load = this->loads.total(id);
-    const double pace = this->loads.pace(id, now);
-    const int slots = std::max(1, endpoint.record.slots);
     auto& result = weighed.result;
     result.endpoint = id;
     result.address = endpoint.record.address;
-    result.load = load;
-    result.pace = pace;
-    if (engine) {
-        result.kept_tokens = std::min(this->cache.kept(id, request.parts, now),
-                                      std::max<std::int64_t>(0, request.prompt_tokens - 1));
-        result.work.uncached_prompt = request.prompt_tokens - result.kept_tokens;
-        result.work.memory = request.prompt_tokens + request.output_tokens;
-        const double tokens = static_cast<double>(std::max<std::int64_t>(0, load.waiting_prompt) +
-                                                  result.work.uncached_prompt);
-        const double crowd = 1.0 + slowdown_per_request * load.requests;
-        weighed.predicted = engine_overhead + milliseconds{tokens / prompt_tokens_per_ms * crowd};
-        const milliseconds wait{
-            pace * crowd * static_cast<double>(std::max<std::int64_t>(0, load.waiting_prompt)) /
-            prompt_tokens_per_ms};
-        weighed.is_full = request.longest_wait && wait > *request.longest_wait;
-        weighed.wait = wait;
-        const double planned = planned_memory * static_cast<double>(engine->memory.value());
-        weighed.is_full =
-            weighed.is_full || (engine->memory.value() > 0 && load.requests > 0 &&
-                                static_cast<double>(load.memory + result.work.memory) > planned);
+    result.load = this->loads.total(id);
+    result.pace = this->loads.pace(id, state.now);
+    const int slots = std::max(1, endpoint.record.slots);
+    if (state.engine) {
+        this->weigh_engine(endpoint, state, weighed);
     }
     else {
-        const double queued = std::max(0.0, static_cast<double>(load.requests + 1 - slots));
-        const double crowd = static_cast<double>(load.requests) / slots;
+        const double queued = std::max(0.0, static_cast<double>(result.load.requests + 1 - slots));
+        const double crowd = static_cast<double>(result.load.requests) / slots;
         weighed.predicted = plain_time * (1.0 + 0.5 * crowd + queued / slots);
     }
-    weighed.is_full =
-        weighed.is_full || load.requests >= static_cast<int>(slots * (1.0 + queue_share));
+    weighed.is_full = weighed.is_full ||
+                      result.load.requests >= static_cast<int>(slots * (1.0 + queue_share));
     result.predicted = std::chrono::duration_cast<duration>(weighed.predicted);
-    weighed.score = pace * weighed.predicted;
-    weighed.score += this->loads.failure_share(id, now) * failure_cost;
+    weighed.score = result.pace * weighed.predicted;
+    weighed.score += this->loads.failure_share(id, state.now) * failure_cost;
     if (endpoint.record.zone != this->own_zone) {
         weighed.score += other_zone_penalty;
     }
-    if (endpoint.record.cold_left > now - endpoint.heard) {
+    if (endpoint.record.cold_left > state.now - endpoint.heard) {
         weighed.score += plain_time;
     }
-    if (this->loads.is_suspended(id, now)) {
+    if (this->loads.is_suspended(id, state.now)) {
         weighed.score += suspended_penalty;
     }
-    const auto overdue = this->loads.overdue(id, now);
-    weighed.score += std::chrono::duration_cast<milliseconds>(std::max(overdue, duration{}));
+    weighed.score +=
+        std::chrono::duration_cast<milliseconds>(this->loads.overdue(id, state.now));
     weighed.score += spread * random_unit(this->random);
     return weighed;
 }
 
-placement_answer placer::choose(const placement_request& request,
-                                const std::optional<engine_traits>& engine,
-                                monotonic_time now) const
+void placer::weigh_all(const std::vector<const known_endpoint*>& some, choice_state& state) const
 {
-    const auto usable = this->endpoints.usable(request.service, now);
-    const auto* preferred = preferred_engine(usable, request);
-    const milliseconds credit{shared_part_credit * static_cast<double>(shared_tokens(request)) /
-                              prompt_tokens_per_ms};
-    placement_answer answer;
-    std::optional<candidate> best;
-    milliseconds soonest = milliseconds::max();
-    for (const auto* endpoint : usable) {
-        if (request.excluded.contains(endpoint->record.id)) {
+    for (const auto* endpoint : some) {
+        if (state.request.excluded.contains(endpoint->record.id)) {
             continue;
         }
-        auto weighed = this->weigh(*endpoint, request, engine, now);
-        if (endpoint == preferred && weighed.result.kept_tokens == 0) {
-            weighed.score -= credit;
-        }
+        auto weighed = this->weigh(*endpoint, state);
         if (weighed.is_full) {
-            answer.reason = placement_failure::all_full;
-            soonest = std::min(soonest, weighed.wait);
+            state.soonest = std::min(state.soonest.value_or(weighed.wait), weighed.wait);
             continue;
         }
-        if (!best || weighed.score < best->score) {
-            best = std::move(weighed);
+        if (!state.best || weighed.score < state.best->score) {
+            state.best = std::move(weighed);
         }
     }
-    if (best) {
-        answer.chosen = best->result;
-        answer.chosen->considered = usable.size();
+}
+
+std::size_t placer::sample(std::vector<const known_endpoint*>& usable,
+                           const known_endpoint* preferred) const
+{
+    const auto nodes = this->loads.node_count();
+    if (nodes <= nodes_without_herd) {
+        return usable.size();
+    }
+    const auto part = (usable.size() * nodes_without_herd + nodes - 1) / nodes;
+    const auto size = std::min(usable.size(), std::max(least_sample, part));
+    std::size_t taken = 0;
+    if (const auto found = std::find(usable.begin(), usable.end(), preferred);
+        found != usable.end()) {
+        std::swap(usable[taken++], *found);
     }
-    else if (answer.reason == placement_failure::all_full) {
-        answer.wait = std::chrono::duration_cast<duration>(soonest);
+    for (; taken < size; ++taken) {
+        const auto other = taken + random_below(this->random, usable.size() - taken);
+        std::swap(usable[taken], usable[other]);
     }
-    return answer;
+    return size;
 }
 
-double placer::occupancy(const service_id& service, monotonic_time now) const
+placement_answer placer::choose(const placement_request& request,
+                                const std::optional<engine_traits>& engine,
+                                monotonic_time now) const
 {
-    double places = 0.0;
-    double taken = 0.0;
-    for (const auto* endpoint : this->endpoints.usable(service, now)) {
-        places += std::max(1, endpoint->record.slots);
-        taken += this->loads.total(endpoint->record.id).requests;
+    auto usable = this->endpoints.usable(request.service, now);
+    choice_state state{request, engine, now, preferred_engine(usable, request), {}, {}};
+    const auto sampled = static_cast<std::ptrdiff_t>(this->sample(usable, state.preferred));
+    this->weigh_all({usable.begin(), usable.begin() + sampled}, state);
+    if (!state.best) {
+        this->weigh_all({usable.begin() + sampled, usable.end()}, state);
     }
-    return places > 0.0 ? taken / places : 0.0;
+    placement_answer answer;
+    if (state.best) {
+        answer.chosen = state.best->result;
+        answer.chosen->considered = static_cast<std::size_t>(sampled);
+    }
+    else if (state.soonest) {
+        answer.reason = placement_failure::all_full;
+        answer.wait = std::chrono::duration_cast<duration>(*state.soonest);
+    }
+    return answer;
 }
 
 } // namespace eelgrassbend
--- a/unittests/placement/load_model_test.cpp
+++ b/unittests/placement/load_model_test.cpp
@@ -91,4 +91,46 @@
     BOOST_TEST((loads.overdue(engine, now + milliseconds{520}) == milliseconds{500}));
 }
 
+BOOST_AUTO_TEST_CASE(a_new_incarnation_keeps_the_work_that_is_under_way)
+{
+    load_model loads;
+    const monotonic_time now{seconds{10}};
+    const auto attempt = loads.begin(engine, {1000, 1200}, milliseconds{20}, now);
+    loads.forget(engine);
+    loads.started(attempt, now + milliseconds{20});
+    BOOST_TEST((loads.total(engine) == endpoint_work{1, 0, 1200}));
+    loads.ended(attempt, attempt_result::failed, now + milliseconds{30});
+    BOOST_TEST((loads.total(engine) == endpoint_work{}));
+}
+
+BOOST_AUTO_TEST_CASE(the_oldest_attempt_without_a_first_byte_tells_how_late_an_endpoint_is)
+{
+    load_model loads;
+    const monotonic_time now{seconds{10}};
+    const auto first = loads.begin(engine, {}, milliseconds{20}, now);
+    const auto second = loads.begin(engine, {}, milliseconds{20}, now + milliseconds{30});
+    BOOST_TEST((loads.overdue(engine, now + milliseconds{10}) == duration{}));
+    BOOST_TEST((loads.overdue(engine, now + milliseconds{100}) == milliseconds{80}));
+    loads.started(first, now + milliseconds{100});
+    BOOST_TEST((loads.overdue(engine, now + milliseconds{100}) == milliseconds{50}));
+    loads.ended(second, attempt_result::cancelled, now + milliseconds{100});
+    BOOST_TEST((loads.overdue(engine, now + milliseconds{100}) == duration{}));
+}
+
+BOOST_AUTO_TEST_CASE(the_sum_over_the_nodes_follows_each_digest)
+{
+    load_model loads;
+    const endpoint_id other{"other"};
+    loads.peer_work(node_id{"b"}, {{engine, {2, 100, 300}}, {other, {1, 0, 50}}});
+    loads.peer_work(node_id{"c"}, {{engine, {1, 10, 30}}});
+    BOOST_TEST(loads.node_count() == 3U);
+    loads.peer_work(node_id{"b"}, {{engine, {1, 50, 100}}});
+    BOOST_TEST((loads.total(engine) == endpoint_work{2, 60, 130}));
+    BOOST_TEST((loads.total(other) == endpoint_work{}));
+    loads.forget_peer(node_id{"b"});
+    loads.forget_peer(node_id{"c"});
+    BOOST_TEST((loads.total(engine) == endpoint_work{}));
+    BOOST_TEST(loads.node_count() == 1U);
+}
+
 } // namespace eelgrassbend
