Keep one copy of timers, levels and seeds, and log what failed

Cause: found in the last reading of the code. Failed calls for the lease and the usage records, and usage records that cannot be read, left no line.

Change: repeating_timer, parse_log_level, system_seed, whole_milliseconds and duty_lease::append, each once; lines lease_read_failed, lease_append_failed, usage_read_failed, usage_append_failed and usage_record_invalid; the unused forward_settings::node is gone.

--- a/include/eelgrassbend/duties/duty_lease.h
+++ b/include/eelgrassbend/duties/duty_lease.h
@@ -3,6 +3,7 @@
 
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/store/record_store.h"
+#include "eelgrassbend/support/repeating_timer.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <functional>
@@ -37,7 +38,6 @@
 public:
     duty_lease(record_store& store, scheduler& time, event_log& log,
                const duty_candidates& candidates, duty_lease_settings settings);
-    ~duty_lease();
     duty_lease(const duty_lease&) = delete;
     duty_lease& operator=(const duty_lease&) = delete;
 
@@ -53,8 +53,7 @@
     void tick();
     void look();
     void looked(const result<store_page>& page);
-    void acquire(log_offset end);
-    void renew();
+    void append(bool is_renewal);
     void appended(monotonic_time asked, bool is_renewal, const result<append_answer>& answer);
     void lose(const char* reason);
     [[nodiscard]] store_record make_record() const;
@@ -65,7 +64,7 @@
     const duty_candidates& candidates;
     duty_lease_settings settings;
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the lease
-    std::optional<timer_id> timer;
+    repeating_timer timer;
     std::optional<fencing_token> held;
     monotonic_time renewed_at;
     log_offset end;                            ///< of the log, as seen last
--- a/include/eelgrassbend/duties/usage_reporter.h
+++ b/include/eelgrassbend/duties/usage_reporter.h
@@ -6,6 +6,7 @@
 #include "eelgrassbend/duties/usage_board.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/store/record_store.h"
+#include "eelgrassbend/support/repeating_timer.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <map>
@@ -30,7 +31,6 @@
 public:
     usage_reporter(record_store& store, scheduler& time, event_log& log, duty_lease& lease,
                    const usage_board& board, duty_calls& calls, usage_reporter_settings settings);
-    ~usage_reporter();
     usage_reporter(const usage_reporter&) = delete;
     usage_reporter& operator=(const usage_reporter&) = delete;
 
@@ -55,7 +55,7 @@
     duty_calls& calls;
     usage_reporter_settings settings;
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the reporter
-    std::optional<timer_id> timer;
+    repeating_timer timer;
     std::optional<fencing_token> term; ///< for which the records were read
     bool records_current = false;
     bool call_under_way = false;
--- a/include/eelgrassbend/logging/event_log.h
+++ b/include/eelgrassbend/logging/event_log.h
@@ -3,12 +3,16 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <string>
 #include <string_view>
 
 namespace eelgrassbend {
 
 enum class log_level { debug, info, warning, error };
 
+/// "debug", "warning" or "error"; anything else is info.
+log_level parse_log_level(const std::string& name);
+
 /// Takes one structured line for each decision or noteworthy event.
 class event_log {
 public:
--- a/include/eelgrassbend/serving/forward_services.h
+++ b/include/eelgrassbend/serving/forward_services.h
@@ -22,7 +22,6 @@
 class usage_board;
 
 struct forward_settings {
-    node_id node;
     /// A configuration that was not confirmed for so long may miss the removal of a key. Below
     /// the bound for removals, less the time of a request on its way here.
     duration configuration_staleness = std::chrono::milliseconds{4300};
--- a/include/eelgrassbend/support/random_source.h
+++ b/include/eelgrassbend/support/random_source.h
@@ -32,6 +32,8 @@
     std::mt19937_64 engine;
 };
 
+/// A seed from the operating system, different for each process.
+std::uint64_t system_seed();
 /// A number in [0, bound); `bound` must be positive.
 std::uint64_t random_below(random_source& source, std::uint64_t bound);
 /// A number in [0, 1).
--- a/include/eelgrassbend/support/units.h
+++ b/include/eelgrassbend/support/units.h
@@ -24,6 +24,12 @@
 /// Time since the Unix epoch as this host believes it to be.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, duration>;
 
+/// Rounded towards zero, for log lines and headers.
+constexpr std::int64_t whole_milliseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 using token_count = strong_number<struct token_count_tag, std::int64_t>;
 using byte_count = strong_number<struct byte_count_tag, std::int64_t>;
 /// Millionths of the currency unit of the deployment.
--- a/lib/duties/duty_lease.cpp
+++ b/lib/duties/duty_lease.cpp
@@ -13,23 +13,18 @@
 
 duty_lease::duty_lease(record_store& store, scheduler& time, event_log& log,
                        const duty_candidates& candidates, duty_lease_settings settings)
-    : store(store), time(time), log(log), candidates(candidates), settings(std::move(settings))
+    : store(store),
+      time(time),
+      log(log),
+      candidates(candidates),
+      settings(std::move(settings)),
+      timer(time, tick_time)
 {
 }
 
-duty_lease::~duty_lease()
-{
-    if (this->timer) {
-        this->time.cancel(*this->timer);
-    }
-}
-
 void duty_lease::start()
 {
-    this->timer = this->time.call_after(tick_time, [this] {
-        this->tick();
-        this->start();
-    });
+    this->timer.start([this] { this->tick(); });
 }
 
 void duty_lease::resign()
@@ -70,7 +65,7 @@
     const auto now = this->time.now();
     if (this->held) {
         if (now - this->renewed_at >= this->settings.renewal) {
-            this->renew();
+            this->append(true);
         }
         return;
     }
@@ -103,6 +98,8 @@
 {
     const auto now = this->time.now();
     if (!page) {
+        this->log.write(log_level::warning, "lease_read_failed",
+                        {{"error", page.error().to_string()}});
         this->still_since.reset();
         return;
     }
@@ -116,7 +113,7 @@
     const bool is_still = this->still_since && seen == this->end;
     this->end = seen;
     if (is_unused || is_still) {
-        this->acquire(seen);
+        this->append(false);
         return;
     }
     this->still_since = now;
@@ -127,32 +124,19 @@
     return {log_offset{}, {}, this->settings.node.value()};
 }
 
-void duty_lease::acquire(log_offset at)
+// Fails if another node has appended since this one looked.
+void duty_lease::append(bool is_renewal)
 {
     this->call_under_way = true;
     const auto asked = this->time.now();
-    this->store.append(
-        this->settings.topic, {this->make_record()}, at,
-        [this, asked, weak = std::weak_ptr<int>(this->alive)](const result<append_answer>& answer) {
-            if (!weak.expired()) {
-                this->call_under_way = false;
-                this->appended(asked, false, answer);
-            }
-        });
-}
-
-void duty_lease::renew()
-{
-    this->call_under_way = true;
-    const auto asked = this->time.now();
-    this->store.append(
-        this->settings.topic, {this->make_record()}, this->end,
-        [this, asked, weak = std::weak_ptr<int>(this->alive)](const result<append_answer>& answer) {
-            if (!weak.expired()) {
-                this->call_under_way = false;
-                this->appended(asked, true, answer);
-            }
-        });
+    this->store.append(this->settings.topic, {this->make_record()}, this->end,
+                       [this, asked, is_renewal, weak = std::weak_ptr<int>(this->alive)](
+                           const result<append_answer>& answer) {
+                           if (!weak.expired()) {
+                               this->call_under_way = false;
+                               this->appended(asked, is_renewal, answer);
+                           }
+                       });
 }
 
 // An append whose answer is lost may have taken effect: the end is then not where it was, and the
@@ -161,6 +145,9 @@
                           const result<append_answer>& answer)
 {
     if (!answer) {
+        this->log.write(
+            log_level::warning, "lease_append_failed",
+            {{"renewal", is_renewal}, {"error", answer.error().to_string()}});
         const bool was_not_done =
             answer.error().code == errc::unavailable || answer.error().code == errc::rate_limited;
         if (this->held && !was_not_done) {
--- a/lib/duties/usage_reporter.cpp
+++ b/lib/duties/usage_reporter.cpp
@@ -46,23 +46,14 @@
       lease(lease),
       board(board),
       calls(calls),
-      settings(std::move(settings))
+      settings(std::move(settings)),
+      timer(time, tick_time)
 {
 }
 
-usage_reporter::~usage_reporter()
-{
-    if (this->timer) {
-        this->time.cancel(*this->timer);
-    }
-}
-
 void usage_reporter::start()
 {
-    this->timer = this->time.call_after(tick_time, [this] {
-        this->tick();
-        this->start();
-    });
+    this->timer.start([this] { this->tick(); });
 }
 
 void usage_reporter::tick()
@@ -126,16 +117,23 @@
 void usage_reporter::records_read(const result<store_page>& page)
 {
     if (!page) {
-        return; // asked again at the next tick
+        // Asked again at the next tick.
+        this->log.write(log_level::warning, "usage_read_failed",
+                        {{"error", page.error().to_string()}});
+        return;
     }
     if (page.value().first_retained > this->end) {
         this->end = page.value().first_retained; // older records are past their due time
         return;
     }
     for (const auto& record : page.value().records) {
-        if (auto entry = record.value ? decode(*record.value) : std::nullopt) {
+        if (auto entry = decode(record.value.value_or(std::string{}))) {
             this->records.emplace(entry->first, std::move(entry->second));
         }
+        else {
+            this->log.write(log_level::error, "usage_record_invalid",
+                            {{"offset", record.offset.value()}});
+        }
         this->end = record.offset + log_offset{1};
     }
     while (this->records.size() > kept_windows) {
@@ -163,6 +161,10 @@
                             const result<append_answer>& answer)
 {
     if (!answer || !answer.value().appended) {
+        this->log.write(
+            log_level::info, "usage_append_failed",
+            {{"window", window.value()},
+             {"error", answer ? "another node wrote first" : answer.error().to_string()}});
         this->records_current = false; // what is in the log now decides
         return;
     }
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -43,7 +43,6 @@
 static forward_settings forwarding(const gateway_settings& settings)
 {
     forward_settings derived;
-    derived.node = settings.node;
     derived.configuration_staleness = std::max<duration>(
         settings.bounds.removed_key - removed_key_margin, settings.bounds.removed_key / 2);
     return derived;
@@ -167,11 +166,6 @@
     }
 }
 
-static std::int64_t whole_milliseconds(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 void gateway::parts::endpoint_changed(const endpoint_record& record, bool is_gone)
 {
     this->needs.log.write(log_level::info, "endpoint_changed",
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -35,11 +35,6 @@
 /// Streams with a objective above this leave the first place to shorter ones.
 static constexpr std::chrono::milliseconds short_objective{800};
 
-static std::int64_t whole_milliseconds(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 forward_flow::forward_flow(const forward_services& services, forwarded_request request,
                            ended_handler on_ended)
     : services(services), request(std::move(request)), on_ended(std::move(on_ended))
--- a/lib/support/random_source.cpp
+++ b/lib/support/random_source.cpp
@@ -4,6 +4,12 @@
 
 namespace eelgrassbend {
 
+std::uint64_t system_seed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
 std::uint64_t random_below(random_source& source, std::uint64_t bound)
 {
     assert(bound > 0 && "an empty range has no number");
--- a/tools/eelgrassbend-entry/io_services.cpp
+++ b/tools/eelgrassbend-entry/io_services.cpp
@@ -12,7 +12,6 @@
 #include "eelgrassbend/platform/http_platform.h"
 #include "eelgrassbend/support/random_source.h"
 
-#include <random>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -22,17 +21,6 @@
 static constexpr std::chrono::seconds platform_timeout{3};
 static constexpr std::chrono::seconds probe_timeout{1};
 
-static log_level level_of(const std::string& name)
-{
-    if (name == "debug") {
-        return log_level::debug;
-    }
-    if (name == "warning") {
-        return log_level::warning;
-    }
-    return name == "error" ? log_level::error : log_level::info;
-}
-
 /// Listening fails only at the start, where nothing else can be done.
 static void require(const result<network_address>& listening)
 {
@@ -41,12 +29,6 @@
     }
 }
 
-static std::uint64_t seed_from_system()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 static std::vector<std::pair<std::string, kernel::factory>>
 independent_services(boost::asio::io_context& context, const entry_settings& settings)
 {
@@ -57,7 +39,7 @@
          }},
         {"random",
          [](const resolved_services&) {
-             return std::make_shared<hosted<seeded_random>>(seed_from_system());
+             return std::make_shared<hosted<seeded_random>>(system_seed());
          }},
         {"http_client",
          [&context](const resolved_services&) {
@@ -129,7 +111,7 @@
                               [settings](const resolved_services& needs) {
                                   return std::make_shared<hosted<json_event_log>>(
                                       needs.get<scheduler>("scheduler"), settings.node,
-                                      level_of(settings.log_level));
+                                      parse_log_level(settings.log_level));
                               });
         !added) {
         return added.error();
--- a/tools/eelgrassbend-gateway/gateway_services.cpp
+++ b/tools/eelgrassbend-gateway/gateway_services.cpp
@@ -17,7 +17,6 @@
 #include "platform/platform_declarations.h"
 #include "platform/store_client.h"
 
-#include <random>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -35,12 +34,6 @@
 /// An endpoint sends at most a second answer to a request now and then.
 static constexpr int most_skipped_answers = 4;
 
-static std::uint64_t seed_from_system()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 static endpoint_client_limits endpoint_limits()
 {
     endpoint_client_limits limits;
@@ -77,7 +70,7 @@
          }},
         {"random",
          [](const resolved_services&) {
-             return std::make_shared<hosted<seeded_random>>(seed_from_system());
+             return std::make_shared<hosted<seeded_random>>(system_seed());
          }},
         {"metrics",
          [](const resolved_services&) { return std::make_shared<hosted<prometheus_metrics>>(); }},
@@ -106,17 +99,6 @@
     };
 }
 
-static log_level level_of(const std::string& name)
-{
-    if (name == "debug") {
-        return log_level::debug;
-    }
-    if (name == "warning") {
-        return log_level::warning;
-    }
-    return name == "error" ? log_level::error : log_level::info;
-}
-
 static std::shared_ptr<service> make_gateway(const resolved_services& needs,
                                              const gateway_settings& settings)
 {
@@ -144,7 +126,7 @@
          {"log_output",
           [settings](const resolved_services& needs) {
               return std::make_shared<hosted<json_event_log>>(
-                  needs.get<scheduler>("scheduler"), settings.node, level_of(settings.log_level));
+                  needs.get<scheduler>("scheduler"), settings.node, parse_log_level(settings.log_level));
           }}},
         {{"log_output", "scheduler"},
          {"event_log",
