Do not ask engines to move runs that cannot

Cause: whether a service's engines move runs was decoded but not looked at, so a run on a leaving engine without moves was asked to move again and again, and a stream that could go on elsewhere was not sent there.

Change: without moves a resumable stream goes on elsewhere after the last event before its engine is taken; any other run stays where it is.

--- a/lib/serving/forward_move.cpp
+++ b/lib/serving/forward_move.cpp
@@ -43,8 +43,14 @@
     if (!this->handle || this->move) {
         return;
     }
-    if (!this->answer && this->may_go_elsewhere()) {
-        // Nothing has come of it yet, so it costs least to send it elsewhere.
+    const auto traits = this->engine();
+    const bool can_move = traits && traits->can_move;
+    if (!can_move && !this->may_go_elsewhere()) {
+        return; // it may still end before the engine is taken
+    }
+    if (!can_move || (!this->answer && this->may_go_elsewhere())) {
+        // Nothing has come of it yet, so it costs least to send it elsewhere; or there is no other
+        // way.
         this->attempt_broke(make_error(errc::unavailable, "await answer",
                                        this->where.endpoint.value(), "endpoint is leaving"));
         return;
--- a/unittests/serving/forward_flow_test.cpp
+++ b/unittests/serving/forward_flow_test.cpp
@@ -321,4 +321,36 @@
     BOOST_TEST(!answer->ended);
 }
 
+BOOST_FIXTURE_TEST_CASE(engines_that_cannot_move_runs_are_not_asked_to, leaving_fixture)
+{
+    this->configuration.services.front().engine->can_move = false;
+    this->apply();
+    const auto answer = this->send("/long/1");
+    this->head();
+    this->body(event(1));
+    this->announce(milliseconds{500});
+    this->time.run_for(seconds{1});
+    BOOST_TEST(this->mover.moves.empty());
+    BOOST_TEST(this->client.attempts.size() == 1U);
+    this->complete();
+    BOOST_TEST(answer->ended);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumable_stream_goes_on_elsewhere_where_runs_cannot_move, leaving_fixture)
+{
+    this->configuration.services.front().engine->can_move = false;
+    this->apply();
+    const auto answer = this->send("/short/1");
+    const auto first = this->endpoint();
+    this->head();
+    this->body(event(1));
+    this->announce(milliseconds{500});
+    this->time.run_for(milliseconds{10});
+    BOOST_TEST(this->mover.moves.empty());
+    BOOST_REQUIRE(this->client.attempts.size() == 2U);
+    BOOST_TEST(this->endpoint() != first);
+    BOOST_TEST(this->sent_header("Last-Event") == "1");
+    BOOST_TEST(!answer->aborted);
+}
+
 } // namespace eelgrassbend
