Let one node read the store for the others

Cause: each node read the operators' topic, the heartbeats of all endpoints and the nodes' records for itself, so that the calls to the store grew with the number of nodes; with 80 nodes they were the largest price. At the start each of 80 new records woke all 80 nodes.

Ruled out: longer pauses between reads, since the bounds for draining endpoints and removed keys are over nodes that are cut off, too; a reader chosen by a record in the store, which costs calls itself.

Change: of the nodes of a zone (of all, where there are fewer than 16) the first that reaches the store reads. A node that misses something, or hears nothing for a part of the bound, reads for itself. A confirmation counts from the time at which the node sent the digest that the reader echoes, so a paused process does not take an old one for new. Nodes read the others' records once they have registered, and then every 5 s.

--- a/include/eelgrassbend/fleet/fleet_view.h
+++ b/include/eelgrassbend/fleet/fleet_view.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/fleet/node_digest.h"
 #include "eelgrassbend/support/units.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -28,6 +29,17 @@
 /// Time for which a silent node may still be serving callers that this node cannot see.
 constexpr duration node_absence = std::chrono::seconds{15};
 
+/// When this node sent its latest digests.
+class sent_digests {
+public:
+    void add(std::uint64_t sequence, monotonic_time when);
+    /// Nothing if it was sent too long ago or not at all.
+    [[nodiscard]] std::optional<monotonic_time> time_of(std::uint64_t sequence) const;
+
+private:
+    std::map<std::uint64_t, monotonic_time> times;
+};
+
 /// The other entry nodes: where they are by the store, how they are by their digests.
 class fleet_view {
 public:
--- a/include/eelgrassbend/fleet/node_digest.h
+++ b/include/eelgrassbend/fleet/node_digest.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/duties/usage_board.h"
 #include "eelgrassbend/placement/load_model.h"
 #include "eelgrassbend/platform/host_list.h"
+#include "eelgrassbend/store/topic_relay.h"
 #include "eelgrassbend/support/error.h"
 #include "eelgrassbend/support/ids.h"
 
@@ -12,9 +13,18 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace eelgrassbend {
 
+/// Which digest of a node.
+struct digest_number {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const digest_number&, const digest_number&) = default;
+};
+
 /// What an entry node tells the others of itself several times a second. Sums are running totals
 /// of one incarnation, so that a lost or repeated digest does no harm.
 struct node_digest {
@@ -31,6 +41,9 @@
     std::map<endpoint_id, endpoint_work> work;
     std::map<organisation_id, double> admitted; ///< quota units since its start
     std::map<usage_window, usage_counts> usage; ///< of the newest windows
+    bool reads_store = false;                   ///< its last calls to the store succeeded
+    std::optional<digest_number> echo;          ///< newest digest heard from the receiver
+    std::vector<topic_position> positions;      ///< read in the store for the receiver
 };
 
 /// Largest digest, in bytes; fits a datagram.
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -26,9 +26,20 @@
 
 /// Makes this node known to the others: by a record in the store, written once, and by digests
 /// sent to them directly. Takes their digests.
-class node_presence : public keyed_observer, public duty_candidates {
+class node_presence : public keyed_observer, public duty_candidates, public topic_relay {
 public:
     using readiness = std::function<bool()>;
+    /// What another node has read, and a time before which all that was written is in it.
+    using position_handler =
+        std::function<void(const topic_position&, std::optional<monotonic_time> as_of)>;
+
+    /// What the node's other parts say of it and hear through it.
+    struct callbacks {
+        readiness is_ready;         ///< takes new callers
+        readiness reads_store;      ///< its last calls to the store succeeded
+        position_handler heard;
+        std::function<void()> registered; ///< the others can find this node's record
+    };
 
     node_presence(record_store& store, datagram_transport& datagrams, scheduler& time,
                   event_log& log, node_identity identity, fleet_view& fleet, load_model& loads,
@@ -37,12 +48,11 @@
     node_presence(const node_presence&) = delete;
     node_presence& operator=(const node_presence&) = delete;
 
-    /// `is_ready`: whether this node takes new callers.
-    void start(const duty_lease& lease, readiness is_ready);
+    void start(const duty_lease& lease, callbacks others);
     /// Tells the others at once that this node takes no new callers.
     void announce_leaving();
 
-    void record_written(const std::string& key, const std::string& value) override;
+    bool record_written(const std::string& key, const std::string& value) override;
     void record_removed(const std::string& key, bool after_gap) override;
 
     void caught_up(monotonic_time /*as_of*/) override {}
@@ -50,6 +60,9 @@
     [[nodiscard]] bool other_holder_heard() const override;
     [[nodiscard]] std::size_t rank() const override;
 
+    [[nodiscard]] bool is_reader() const override;
+    void pass_on(const std::vector<topic_position>& positions) override;
+
     /// The topic of the nodes' records.
     static store_topic topic() { return {"entry-nodes", true}; }
 
@@ -61,6 +74,9 @@
     void send_usage();
     void send(const node_digest& digest);
     void receive(const std::string& bytes);
+    void take_positions(const node_digest& told);
+    /// Whether another node reads the store for the same group.
+    [[nodiscard]] bool is_in_group(const known_node& other) const;
 
     record_store& store;
     datagram_transport& datagrams;
@@ -73,7 +89,8 @@
     retry_budget& retries;
     usage_board& usage;
     const duty_lease* lease = nullptr;
-    readiness is_ready;
+    callbacks others;
+    sent_digests sent;
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with this
     std::optional<timer_id> timer;
     std::optional<timer_id> register_timer;
--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -25,8 +25,13 @@
     int slots = 0;
     duration cold_left{};     ///< it stays slow for so long after its start
     std::int64_t started = 0; ///< tells incarnations under one id apart
+
+    friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
 };
 
+/// Whether a newer record says the same of an endpoint, but for time that has passed.
+bool is_repeated(const endpoint_record& before, const endpoint_record& after);
+
 /// An endpoint as this node knows it.
 struct known_endpoint {
     endpoint_record record;
--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -3,6 +3,7 @@
 
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/store/record_store.h"
+#include "eelgrassbend/store/topic_relay.h"
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/scheduler.h"
 
@@ -21,13 +22,16 @@
     /// First pause after a failed call; doubles up to the longest, with jitter.
     duration retry_pause = std::chrono::milliseconds{100};
     duration longest_retry_pause = std::chrono::milliseconds{800};
+    /// With a relay: age of what is known after which this node reads for itself.
+    duration relay_silence = std::chrono::seconds{2};
 };
 
 /// Hears the records of a keyed topic in the order of their offsets.
 class keyed_observer {
 public:
     virtual ~keyed_observer() = default;
-    virtual void record_written(const std::string& key, const std::string& value) = 0;
+    /// Whether it changed anything; a record that repeats the one before does not.
+    virtual bool record_written(const std::string& key, const std::string& value) = 0;
     /// `after_gap`: the store or the way to it had failed shortly before.
     virtual void record_removed(const std::string& key, bool after_gap) = 0;
     /// A read ended; all that was written before `as_of` has been told.
@@ -35,16 +39,27 @@
 };
 
 /// Follows a keyed topic: first the newest record of each key, then the log from there on. Starts
-/// again with the newest records when the log does not reach back far enough.
+/// again with the newest records when the log does not reach back far enough. Where another node
+/// reads the log for this one, it reads itself only when nothing has been heard for a while or
+/// something was missed.
 class keyed_follower {
 public:
     keyed_follower(record_store& store, scheduler& time, random_source& random, event_log& log,
-                   store_topic topic, follower_settings settings, keyed_observer& observer);
+                   topic_relay& relay, store_topic topic, follower_settings settings,
+                   keyed_observer& observer);
     ~keyed_follower();
     keyed_follower(const keyed_follower&) = delete;
     keyed_follower& operator=(const keyed_follower&) = delete;
 
     void start();
+    /// What another node has read. `as_of`: a time before which all that was written is in it;
+    /// nothing if that is not known.
+    void heard(const topic_position& position, std::optional<monotonic_time> as_of);
+
+    [[nodiscard]] const store_topic& followed() const { return this->topic; }
+
+    /// Whether the last call of this node's own failed.
+    [[nodiscard]] bool is_failing() const { return this->failing; }
 
     /// Start of the newest call that succeeded; nothing before the first one.
     [[nodiscard]] std::optional<monotonic_time> fresh_as_of() const { return this->fresh; }
@@ -55,7 +70,12 @@
     void newest_complete(monotonic_time asked);
     void read_log();
     void log_read(monotonic_time asked, const result<store_page>& page);
-    void apply(const store_record& record);
+    void read_on();
+    void pass_on(monotonic_time asked);
+    /// Whether it changed anything.
+    bool apply(const store_record& record, bool after_gap);
+    /// How long this node need not read for itself.
+    [[nodiscard]] duration relayed_for() const;
     void succeeded(monotonic_time asked);
     void failed(const error& reason);
     void run_after(duration pause, void (keyed_follower::*step)());
@@ -66,6 +86,7 @@
     scheduler& time;
     random_source& random;
     event_log& log;
+    topic_relay& relay;
     store_topic topic;
     follower_settings settings;
     keyed_observer& observer;
@@ -79,7 +100,10 @@
     monotonic_time snapshot_asked;
     std::optional<monotonic_time> regained; ///< first success after the last failure
     duration next_retry{};
+    relay_window window;
+    std::optional<monotonic_time> heard_at; ///< newest confirmation by another node
     bool failing = false;
+    bool is_reading = false; ///< a read of the log is under way
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/store/record_store.h
+++ b/include/eelgrassbend/store/record_store.h
@@ -22,6 +22,8 @@
     log_offset offset;
     std::string key;                  ///< empty in topics without keys
     std::optional<std::string> value; ///< nothing: the key was deleted
+
+    friend bool operator==(const store_record&, const store_record&) = default;
 };
 
 /// Consecutive records from an offset. Without records where that offset lies before
--- /dev/null
+++ b/include/eelgrassbend/store/topic_relay.h
@@ -0,0 +1,73 @@
+#ifndef EELGRASSBEND_STORE_TOPIC_RELAY_H
+#define EELGRASSBEND_STORE_TOPIC_RELAY_H
+
+#include "eelgrassbend/store/record_store.h"
+#include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/units.h"
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// How far a node has read a topic, and what changed on the way.
+struct topic_position {
+    std::string topic;
+    log_offset from; ///< whoever has read less far misses something
+    log_offset to;   ///< the next offset to be read
+    duration age{};  ///< since the start of the read that confirmed `to`
+    bool after_gap = false;
+    std::vector<store_record> changes; ///< in [from, to); records that changed nothing are left out
+
+    friend bool operator==(const topic_position&, const topic_position&) = default;
+};
+
+/// Largest sum of keys and values in one position, in bytes; with a digest's other fields it fits
+/// a datagram.
+constexpr std::size_t longest_position = 800;
+
+/// Lets one node read the store for a group of them.
+class topic_relay {
+public:
+    virtual ~topic_relay() = default;
+    /// Whether this node reads for its group.
+    [[nodiscard]] virtual bool is_reader() const = 0;
+    virtual void pass_on(const std::vector<topic_position>& positions) = 0;
+};
+
+/// Each node reads for itself.
+class no_relay : public topic_relay {
+public:
+    [[nodiscard]] bool is_reader() const override { return true; }
+
+    void pass_on(const std::vector<topic_position>& /*positions*/) override {}
+};
+
+/// The changes of the last few reads, so that a lost datagram does no harm.
+class relay_window {
+public:
+    /// The next read begins at `next`, whatever was read before.
+    void restart(log_offset next);
+    void add(log_offset to, std::vector<store_record> changes, bool after_gap);
+    /// Consecutive positions up to the last read. Records that are too large for a datagram are
+    /// left out, with all before them: others have to read these themselves.
+    [[nodiscard]] std::vector<topic_position> positions(const std::string& topic,
+                                                        duration age) const;
+
+private:
+    struct past_read {
+        log_offset from;
+        log_offset to;
+        std::vector<store_record> changes;
+        bool after_gap = false;
+    };
+
+    log_offset next;
+    std::deque<past_read> reads;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- a/lib/fleet/fleet_view.cpp
+++ b/lib/fleet/fleet_view.cpp
@@ -4,6 +4,23 @@
 
 namespace eelgrassbend {
 
+/// Digests that are remembered; at the highest rate these are some seconds.
+static constexpr std::size_t remembered_digests = 128;
+
+void sent_digests::add(std::uint64_t sequence, monotonic_time when)
+{
+    this->times[sequence] = when;
+    if (this->times.size() > remembered_digests) {
+        this->times.erase(this->times.begin());
+    }
+}
+
+std::optional<monotonic_time> sent_digests::time_of(std::uint64_t sequence) const
+{
+    const auto found = this->times.find(sequence);
+    return found == this->times.end() ? std::nullopt : std::optional{found->second};
+}
+
 void fleet_view::add_record(const node_record& record)
 {
     if (record.node != this->self) {
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -77,6 +77,53 @@
     }
 }
 
+static void write_positions(const node_digest& digest, wire::NodeDigest::Builder out)
+{
+    out.setReadsStore(digest.reads_store);
+    out.setEchoIncarnation(digest.echo.value_or(digest_number{}).incarnation);
+    out.setEchoSequence(digest.echo.value_or(digest_number{}).sequence);
+    auto positions = out.initPositions(list_size(digest.positions));
+    unsigned index = 0;
+    for (const auto& position : digest.positions) {
+        auto entry = positions[index++];
+        entry.setTopic(position.topic);
+        entry.setFrom(position.from.value());
+        entry.setTo(position.to.value());
+        entry.setAgeMicros(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(position.age).count()));
+        entry.setAfterGap(position.after_gap);
+        auto changes = entry.initChanges(list_size(position.changes));
+        unsigned place = 0;
+        for (const auto& record : position.changes) {
+            auto change = changes[place++];
+            change.setOffset(record.offset.value());
+            change.setKey(record.key);
+            change.setRemoved(!record.value);
+            const auto& value = record.value.value_or(std::string{});
+            change.setValue({reinterpret_cast<const kj::byte*>(value.data()), value.size()});
+        }
+    }
+}
+
+static topic_position read_position(wire::TopicPosition::Reader in)
+{
+    topic_position position;
+    position.topic = to_string(in.getTopic());
+    position.from = log_offset{in.getFrom()};
+    position.to = log_offset{in.getTo()};
+    position.age = std::chrono::microseconds{in.getAgeMicros()};
+    position.after_gap = in.getAfterGap();
+    for (const auto change : in.getChanges()) {
+        store_record record{log_offset{change.getOffset()}, to_string(change.getKey()), {}};
+        if (!change.getRemoved()) {
+            const auto value = change.getValue().asChars();
+            record.value = std::string{value.begin(), value.end()};
+        }
+        position.changes.push_back(std::move(record));
+    }
+    return position;
+}
+
 std::string encode_digest(const node_digest& digest)
 {
     capnp::MallocMessageBuilder message;
@@ -110,6 +157,7 @@
         ++index;
     }
     write_usage(digest, out);
+    write_positions(digest, out);
     return to_bytes(message);
 }
 
@@ -141,6 +189,13 @@
             counts[organisation_id{to_string(count.getOrganisation())}] = count.getRequests();
         }
     }
+    digest.reads_store = in.getReadsStore();
+    if (in.getEchoIncarnation() != 0) {
+        digest.echo = digest_number{in.getEchoIncarnation(), in.getEchoSequence()};
+    }
+    for (const auto position : in.getPositions()) {
+        digest.positions.push_back(read_position(position));
+    }
     if (digest.node.value().empty()) {
         return make_error(errc::invalid_argument, "decode digest", {}, "no node");
     }
--- a/lib/gateway/declaration_observers.cpp
+++ b/lib/gateway/declaration_observers.cpp
@@ -16,20 +16,20 @@
 {
 }
 
-void configuration_observer::record_written(const std::string& key, const std::string& value)
+bool configuration_observer::record_written(const std::string& key, const std::string& value)
 {
     if (!this->declared.is_configuration(key)) {
-        return;
+        return true;
     }
     auto read = this->declared.read_configuration(value);
     if (!read) {
         this->log.write(log_level::error, "configuration_invalid",
                         {{"error", read.error().to_string()}});
-        return;
+        return true;
     }
     const auto version = read.value().version;
     if (this->in_force && version <= *this->in_force) {
-        return;
+        return true;
     }
     this->in_force = version;
     this->log.write(log_level::info, "configuration_in_force",
@@ -37,6 +37,7 @@
                      {"routes", read.value().routes.size()},
                      {"organisations", read.value().organisations.size()}});
     this->on_table(std::make_shared<const route_table>(std::move(read.value())));
+    return true;
 }
 
 void configuration_observer::record_removed(const std::string& key, bool /*after_gap*/)
@@ -57,17 +58,22 @@
 {
 }
 
-void endpoint_observer::record_written(const std::string& key, const std::string& value)
+// Endpoints write the same again about once a second, to show that they live.
+bool endpoint_observer::record_written(const std::string& key, const std::string& value)
 {
     const auto now = this->time.now();
     const auto read = this->declared.read_endpoint(key, value);
     if (read) {
+        const auto* known = this->endpoints.find(read.value().id);
+        const bool is_same = known != nullptr && !known->missing_since &&
+                             is_repeated(known->record, read.value());
         this->endpoints.put(read.value(), now);
-        return;
+        return !is_same;
     }
     this->log.write(log_level::warning, "endpoint_record_invalid",
                     {{"error", read.error().to_string()}});
     this->endpoints.remove(endpoint_id{key}, now, false);
+    return true;
 }
 
 void endpoint_observer::record_removed(const std::string& key, bool after_gap)
--- a/lib/gateway/declaration_observers.h
+++ b/lib/gateway/declaration_observers.h
@@ -21,7 +21,7 @@
     configuration_observer(const declarations& declared, event_log& log, table_handler on_table,
                            confirmed_handler on_confirmed);
 
-    void record_written(const std::string& key, const std::string& value) override;
+    bool record_written(const std::string& key, const std::string& value) override;
     void record_removed(const std::string& key, bool after_gap) override;
     void caught_up(monotonic_time as_of) override;
 
@@ -39,7 +39,7 @@
     endpoint_observer(const declarations& declared, event_log& log, const scheduler& time,
                       endpoint_table& endpoints);
 
-    void record_written(const std::string& key, const std::string& value) override;
+    bool record_written(const std::string& key, const std::string& value) override;
     void record_removed(const std::string& key, bool after_gap) override;
     void caught_up(monotonic_time as_of) override;
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -16,16 +16,19 @@
 
 /// A confirmation is as old as the call that brought it, and a request takes a while to get here.
 static constexpr milliseconds removed_key_margin{700};
-/// Reads of the operators' topic come back at least so often, to confirm the configuration; a
-/// silent connection is noticed and replaced within the bound for removed keys.
-static constexpr milliseconds configuration_wait{1800};
+/// Reads of the operators' topic come back at least so often, to confirm the configuration, as a
+/// part of the time for which a confirmation holds.
+static constexpr double configuration_wait_part = 0.2;
+/// Age of a confirmation by another node after which a node reads for itself, as such a part.
+static constexpr double configuration_silence_part = 0.5;
 /// Endpoints write their records about once a second each, and each read is paid for; reads gather
-/// them for a part of the bound for leaving endpoints, less the time of a read.
-static constexpr double endpoint_pause_part = 0.45;
-static constexpr milliseconds endpoint_read_time{200};
-static constexpr milliseconds endpoint_wait{2000};
-/// Records of entry nodes change only when nodes come and go.
+/// them for a part of the bound for leaving endpoints, and do not wait for more.
+static constexpr double endpoint_pause_part = 0.2;
+static constexpr double endpoint_silence_part = 0.45;
+/// Records of entry nodes change only when nodes come and go, and a new node finds the others by
+/// itself; these reads only make good what was missed.
 static constexpr std::chrono::seconds node_wait{20};
+static constexpr std::chrono::seconds node_pause{5};
 /// Part of the bound for leaving endpoints for which an endpoint counts whose record was lost in
 /// a store outage.
 static constexpr double missing_part = 0.6;
@@ -48,16 +51,40 @@
     return derived;
 }
 
+static duration part_of(double part, duration whole)
+{
+    return std::chrono::duration_cast<duration>(part * whole);
+}
+
 static duration missing_time(const gateway_settings& settings)
 {
-    return std::chrono::duration_cast<duration>(missing_part * settings.bounds.draining);
+    return part_of(missing_part, settings.bounds.draining);
+}
+
+static follower_settings configuration_reading(const gateway_settings& settings)
+{
+    const auto staleness = forwarding(settings).configuration_staleness;
+    follower_settings derived;
+    derived.longest_wait = part_of(configuration_wait_part, staleness);
+    derived.relay_silence = part_of(configuration_silence_part, staleness);
+    return derived;
 }
 
-static duration endpoint_pause(const gateway_settings& settings)
+static follower_settings endpoint_reading(const gateway_settings& settings)
 {
-    const auto part =
-        std::chrono::duration_cast<duration>(endpoint_pause_part * settings.bounds.draining);
-    return std::max<duration>(part - endpoint_read_time, milliseconds{100});
+    follower_settings derived;
+    derived.longest_wait = duration::zero();
+    derived.pause = part_of(endpoint_pause_part, settings.bounds.draining);
+    derived.relay_silence = part_of(endpoint_silence_part, settings.bounds.draining);
+    return derived;
+}
+
+static follower_settings node_reading()
+{
+    follower_settings derived;
+    derived.longest_wait = node_wait;
+    derived.pause = node_pause;
+    return derived;
 }
 
 static duty_lease_settings lease_settings(const gateway_settings& settings)
@@ -75,17 +102,10 @@
     return derived;
 }
 
-static follower_settings follow(duration wait, duration pause)
-{
-    follower_settings derived;
-    derived.longest_wait = wait;
-    derived.pause = pause;
-    return derived;
-}
-
 struct gateway::parts {
     parts(const gateway_needs& needs, const gateway_settings& node_settings);
 
+    void start_presence(node_presence::readiness is_ready);
     void take_table(std::shared_ptr<const route_table> table);
     void endpoint_changed(const endpoint_record& record, bool is_gone);
     void endpoint_leaving(const endpoint_record& record, int asked);
@@ -111,6 +131,7 @@
     scaler scaling;
     configuration_observer configurations;
     endpoint_observer endpoint_records;
+    no_relay own_reads;
     keyed_follower operators;
     keyed_follower endpoint_follower;
     keyed_follower nodes;
@@ -147,14 +168,33 @@
           [this](std::shared_ptr<const route_table> table) { this->take_table(std::move(table)); },
           [this](monotonic_time as_of) { this->front.configuration_confirmed(as_of); }),
       endpoint_records(needs.declared, needs.log, needs.time, endpoints),
-      operators(needs.store, needs.time, needs.random, needs.log, needs.declared.operators(),
-                follow(configuration_wait, {}), configurations),
-      endpoint_follower(needs.store, needs.time, needs.random, needs.log,
-                        needs.declared.endpoints(),
-                        follow(endpoint_wait, endpoint_pause(node_settings)), endpoint_records),
-      nodes(needs.store, needs.time, needs.random, needs.log, node_presence::topic(),
-            follow(node_wait, {}), presence)
+      operators(needs.store, needs.time, needs.random, needs.log, presence,
+                needs.declared.operators(), configuration_reading(node_settings), configurations),
+      endpoint_follower(needs.store, needs.time, needs.random, needs.log, presence,
+                        needs.declared.endpoints(), endpoint_reading(node_settings),
+                        endpoint_records),
+      nodes(needs.store, needs.time, needs.random, needs.log, own_reads, node_presence::topic(),
+            node_reading(), presence)
+{
+}
+
+void gateway::parts::start_presence(node_presence::readiness is_ready)
 {
+    node_presence::callbacks others;
+    others.is_ready = std::move(is_ready);
+    others.reads_store = [this] {
+        return !this->operators.is_failing() && !this->endpoint_follower.is_failing();
+    };
+    others.heard = [this](const topic_position& position, std::optional<monotonic_time> as_of) {
+        for (auto* follower : {&this->operators, &this->endpoint_follower}) {
+            if (follower->followed().name == position.topic) {
+                follower->heard(position, as_of);
+            }
+        }
+    };
+    // Of two nodes, the one that registers later finds the record of the other.
+    others.registered = [this] { this->nodes.start(); };
+    this->presence.start(this->lease, std::move(others));
 }
 
 void gateway::parts::take_table(std::shared_ptr<const route_table> table)
@@ -245,8 +285,7 @@
 {
     this->held->operators.start();
     this->held->endpoint_follower.start();
-    this->held->nodes.start();
-    this->held->presence.start(this->held->lease, [this] { return this->is_ready(); });
+    this->held->start_presence([this] { return this->is_ready(); });
     if (this->held->settings.cloud) {
         this->held->lease.start();
         this->held->reporter.start();
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -19,6 +19,8 @@
 static constexpr std::size_t windows_in_digest = 2;
 /// Each so many digests goes to silent nodes too, so that they are heard when they come back.
 static constexpr std::uint64_t silent_every = 4;
+/// With fewer nodes than this, one reads the store for all.
+static constexpr std::size_t nodes_with_one_reader = 16;
 /// Pause before the node's record is written again after a failure.
 static constexpr std::chrono::milliseconds register_pause{500};
 
@@ -52,10 +54,10 @@
     }
 }
 
-void node_presence::start(const duty_lease& holder, readiness ready)
+void node_presence::start(const duty_lease& holder, callbacks handlers)
 {
     this->lease = &holder;
-    this->is_ready = std::move(ready);
+    this->others = std::move(handlers);
     this->datagrams.set_receiver(
         [this](const network_address&, const std::string& bytes) { this->receive(bytes); });
     this->register_node();
@@ -69,7 +71,11 @@
     this->store.append(
         topic(), {{log_offset{}, this->identity.node.value(), record.dump()}}, std::nullopt,
         [this, weak = std::weak_ptr<int>(this->alive)](const result<append_answer>& answer) {
-            if (weak.expired() || answer) {
+            if (weak.expired()) {
+                return;
+            }
+            if (answer) {
+                this->others.registered();
                 return;
             }
             this->log.write(log_level::warning, "register_failed",
@@ -79,17 +85,18 @@
         });
 }
 
-void node_presence::record_written(const std::string& key, const std::string& value)
+bool node_presence::record_written(const std::string& key, const std::string& value)
 {
     const auto parsed = nlohmann::json::parse(value, nullptr, false);
     const bool is_valid = parsed.is_object() && parsed.contains("ip") && parsed.contains("port") &&
                           parsed["ip"].is_string() && parsed["port"].is_number_unsigned();
     if (!is_valid) {
         this->log.write(log_level::warning, "node_record_invalid", {{"node", key}});
-        return;
+        return true;
     }
     this->fleet.add_record(
         {node_id{key}, {parsed["ip"].get<std::string>(), parsed["port"].get<std::uint16_t>()}});
+    return true;
 }
 
 void node_presence::record_removed(const std::string& key, bool /*after_gap*/)
@@ -102,8 +109,14 @@
     this->is_leaving = true;
     this->send_digest();
     this->store.append(topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}},
-                       std::nullopt, [](const result<append_answer>&) {
+                       std::nullopt,
+                       [this, weak = std::weak_ptr<int>(this->alive)](
+                           const result<append_answer>& answer) {
                            // The record of a node that is gone does no harm: it is silent.
+                           if (!weak.expired() && !answer) {
+                               this->log.write(log_level::info, "deregister_failed",
+                                               {{"error", answer.error().to_string()}});
+                           }
                        });
 }
 
@@ -140,7 +153,8 @@
     digest.incarnation = this->incarnation;
     digest.sequence = ++this->sequence;
     digest.is_leaving = this->is_leaving;
-    digest.is_ready = !this->is_leaving && this->is_ready();
+    digest.is_ready = !this->is_leaving && this->others.is_ready();
+    digest.reads_store = this->others.reads_store();
     digest.callers = this->identity.callers;
     digest.datagrams = this->identity.datagrams;
     digest.zone = this->identity.zone;
@@ -175,6 +189,7 @@
 void node_presence::send(const node_digest& digest)
 {
     const auto bytes = encode_digest(digest);
+    this->sent.add(digest.sequence, this->time.now());
     const bool with_silent = this->is_leaving || digest.sequence % silent_every == 1;
     for (const auto& address : this->fleet.receivers(this->time.now(), with_silent)) {
         this->datagrams.send(address, bytes);
@@ -199,6 +214,58 @@
         this->quotas.heard(told.node, told.incarnation, told.admitted, now);
     }
     this->usage.heard(told.node, told.incarnation, told.usage);
+    this->take_positions(told);
+}
+
+// How old a position is shows from the echo: the other node sent it after it had heard that digest
+// of this node. The time of its arrival says nothing if this process was paused meanwhile.
+void node_presence::take_positions(const node_digest& told)
+{
+    std::optional<monotonic_time> sent_at;
+    if (told.echo && told.echo->incarnation == this->incarnation) {
+        sent_at = this->sent.time_of(told.echo->sequence);
+    }
+    for (const auto& position : told.positions) {
+        std::optional<monotonic_time> as_of;
+        if (sent_at) {
+            as_of = *sent_at - position.age;
+        }
+        this->others.heard(position, as_of);
+    }
+}
+
+// Few nodes have one reader for all of them; with many, each zone has its own.
+bool node_presence::is_in_group(const known_node& other) const
+{
+    return this->fleet.alive(this->time.now()).size() < nodes_with_one_reader ||
+           other.digest.zone == this->identity.zone;
+}
+
+bool node_presence::is_reader() const
+{
+    for (const auto* node : this->fleet.alive(this->time.now())) {
+        const auto& told = node->digest;
+        if (told.reads_store && !told.is_leaving && told.node < this->identity.node &&
+            this->is_in_group(*node)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void node_presence::pass_on(const std::vector<topic_position>& positions)
+{
+    for (const auto* node : this->fleet.alive(this->time.now())) {
+        if (!this->is_in_group(*node)) {
+            continue;
+        }
+        for (const auto& position : positions) {
+            auto digest = this->make_digest();
+            digest.echo = digest_number{node->digest.incarnation, node->digest.sequence};
+            digest.positions = {position};
+            this->datagrams.send(node->digest.datagrams, encode_digest(digest));
+        }
+    }
 }
 
 bool node_presence::other_holder_heard() const
--- a/lib/placement/endpoint_table.cpp
+++ b/lib/placement/endpoint_table.cpp
@@ -4,6 +4,13 @@
 
 namespace eelgrassbend {
 
+bool is_repeated(const endpoint_record& before, const endpoint_record& after)
+{
+    auto same_time = after;
+    same_time.cold_left = before.cold_left;
+    return same_time == before;
+}
+
 void endpoint_table::put(const endpoint_record& record, monotonic_time now)
 {
     auto& entry = this->known[record.id];
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -12,12 +12,13 @@
 static constexpr std::chrono::milliseconds rewrite_time{2000};
 
 keyed_follower::keyed_follower(record_store& store, scheduler& time, random_source& random,
-                               event_log& log, store_topic topic, follower_settings settings,
-                               keyed_observer& observer)
+                               event_log& log, topic_relay& relay, store_topic topic,
+                               follower_settings settings, keyed_observer& observer)
     : store(store),
       time(time),
       random(random),
       log(log),
+      relay(relay),
       topic(std::move(topic)),
       settings(settings),
       observer(observer),
@@ -72,7 +73,7 @@
     }
     for (const auto& record : page.value().records) {
         this->seen.insert(record.key);
-        this->apply(record);
+        this->apply(record, this->is_after_gap());
     }
     if (page.value().has_more && !page.value().records.empty()) {
         this->read_newest(page.value().records.back().key);
@@ -87,21 +88,25 @@
     std::set_difference(this->keys.begin(), this->keys.end(), this->seen.begin(), this->seen.end(),
                         std::back_inserter(gone));
     for (const auto& key : gone) {
-        this->apply({log_offset{}, key, std::nullopt});
+        this->apply({log_offset{}, key, std::nullopt}, this->is_after_gap());
     }
     this->next = this->snapshot;
+    this->window.restart(*this->next);
     this->seen.clear();
     this->succeeded(asked);
+    this->pass_on(asked);
     this->read_log();
 }
 
 void keyed_follower::read_log()
 {
     const auto asked = this->time.now();
+    this->is_reading = true;
     this->store.read(
         this->topic, *this->next, this->settings.longest_wait,
         [this, asked, weak = std::weak_ptr<int>(this->alive)](const result<store_page>& page) {
             if (!weak.expired()) {
+                this->is_reading = false;
                 this->log_read(asked, page);
             }
         });
@@ -121,29 +126,95 @@
         this->restart();
         return;
     }
+    std::vector<store_record> changes;
     for (const auto& record : page.value().records) {
         if (record.offset < *this->next) {
             continue;
         }
-        this->apply(record);
+        if (this->apply(record, this->is_after_gap())) {
+            changes.push_back(record);
+        }
         this->next = record.offset + log_offset{1};
     }
+    this->window.add(*this->next, std::move(changes), this->is_after_gap());
     this->succeeded(asked);
-    this->run_after(this->settings.pause, &keyed_follower::read_log);
+    this->pass_on(asked);
+    this->run_after(this->settings.pause, &keyed_follower::read_on);
 }
 
-void keyed_follower::apply(const store_record& record)
+void keyed_follower::pass_on(monotonic_time asked)
 {
-    if (record.value) {
-        this->keys.insert(record.key);
-        this->observer.record_written(record.key, *record.value);
+    if (this->relay.is_reader()) {
+        this->relay.pass_on(
+            this->window.positions(this->topic.name, this->time.now() - asked));
+    }
+}
+
+// Both count: a reader that is cut off from the store still passes on what it knew, and one that has
+// stopped leaves a confirmation that is young for a while.
+duration keyed_follower::relayed_for() const
+{
+    if (!this->heard_at || !this->fresh || this->relay.is_reader()) {
+        return {};
+    }
+    const auto since = std::min(*this->heard_at, *this->fresh);
+    return std::max(duration{}, since + this->settings.relay_silence - this->time.now());
+}
+
+void keyed_follower::read_on()
+{
+    const auto wait = this->relayed_for();
+    if (wait == duration{}) {
+        this->read_log();
+        return;
+    }
+    this->run_after(wait, &keyed_follower::read_on);
+}
+
+void keyed_follower::heard(const topic_position& position, std::optional<monotonic_time> as_of)
+{
+    if (!this->next) {
+        return; // the newest records are still being read
+    }
+    if (position.from > *this->next) {
+        if (!this->is_reading && this->timer) {
+            this->time.cancel(*std::exchange(this->timer, std::nullopt));
+            this->read_log();
+        }
+        return;
+    }
+    for (const auto& record : position.changes) {
+        if (record.offset >= *this->next) {
+            this->apply(record, position.after_gap);
+        }
+    }
+    if (position.to > *this->next) {
+        this->next = position.to;
+        this->window.restart(*this->next);
+    }
+    if (!as_of) {
         return;
     }
-    if (this->keys.erase(record.key) > 0) {
-        this->observer.record_removed(record.key, this->is_after_gap());
+    this->heard_at = this->time.now();
+    if (!this->fresh || *as_of > *this->fresh) {
+        this->fresh = as_of;
+        this->observer.caught_up(*as_of);
     }
 }
 
+bool keyed_follower::apply(const store_record& record, bool after_gap)
+{
+    if (record.value) {
+        const bool is_new = this->keys.insert(record.key).second;
+        return this->observer.record_written(record.key, *record.value) || is_new;
+    }
+    if (this->keys.erase(record.key) == 0) {
+        return false;
+    }
+    this->observer.record_removed(record.key, after_gap);
+    return true;
+}
+
 bool keyed_follower::is_after_gap() const
 {
     if (this->failing) {
@@ -161,8 +232,8 @@
                         {{"dependency", "store"}, {"topic", this->topic.name}});
     }
     this->next_retry = this->settings.retry_pause;
-    this->fresh = asked;
-    this->observer.caught_up(asked);
+    this->fresh = std::max(asked, this->fresh.value_or(asked));
+    this->observer.caught_up(*this->fresh);
 }
 
 void keyed_follower::failed(const error& reason)
@@ -175,7 +246,13 @@
     const auto pause = std::chrono::duration_cast<duration>(
         this->next_retry * (0.5 + 0.5 * random_unit(this->random)));
     this->next_retry = std::min(2 * this->next_retry, this->settings.longest_retry_pause);
-    this->run_after(pause, this->next ? &keyed_follower::read_log : &keyed_follower::restart);
+    if (!this->next) {
+        this->run_after(pause, &keyed_follower::restart);
+        return;
+    }
+    // While another node reads for this one, one try now and then shows when the store is back.
+    const bool is_relayed = this->relayed_for() > duration{};
+    this->run_after(is_relayed ? this->settings.relay_silence : pause, &keyed_follower::read_log);
 }
 
 void keyed_follower::run_after(duration pause, void (keyed_follower::*step)())
--- a/proto/fleet.capnp
+++ b/proto/fleet.capnp
@@ -25,6 +25,22 @@
   counts @1 :List(UsageCount);
 }
 
+struct TopicChange {
+  offset @0 :UInt64;
+  key @1 :Text;
+  removed @2 :Bool;
+  value @3 :Data;
+}
+
+struct TopicPosition {
+  topic @0 :Text;
+  from @1 :UInt64;
+  to @2 :UInt64;
+  ageMicros @3 :UInt64;
+  afterGap @4 :Bool;
+  changes @5 :List(TopicChange);
+}
+
 struct NodeDigest {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -42,4 +58,8 @@
   admitted @13 :List(AdmittedUnits);
   usage @14 :List(UsageWindow);
   carriesLoad @15 :Bool;  # else `work` and `admitted` say nothing
+  readsStore @16 :Bool;
+  echoIncarnation @17 :UInt64;  # of the newest digest from the receiver; 0: none
+  echoSequence @18 :UInt64;
+  positions @19 :List(TopicPosition);
 }
--- a/unittests/fleet/node_digest_test.cpp
+++ b/unittests/fleet/node_digest_test.cpp
@@ -1,3 +1,4 @@
+#include "eelgrassbend/fleet/fleet_view.h"
 #include "eelgrassbend/fleet/node_digest.h"
 
 #include <boost/test/unit_test.hpp>
@@ -19,6 +20,15 @@
     digest.work[endpoint_id{"i-1"}] = {3, 4000, 90'000};
     digest.admitted[organisation_id{"lodge"}] = 1234.5;
     digest.usage[usage_window{77}][organisation_id{"lodge"}] = 41;
+    digest.reads_store = true;
+    digest.echo = digest_number{5, 6};
+    digest.positions = {{"servers",
+                         log_offset{3},
+                         log_offset{9},
+                         std::chrono::milliseconds{120},
+                         true,
+                         {{log_offset{4}, "i-1", std::string{"a\0b", 3}},
+                          {log_offset{5}, "i-2", std::nullopt}}}};
     return digest;
 }
 
@@ -40,6 +50,20 @@
     BOOST_TEST((told.work == digest.work));
     BOOST_TEST((told.admitted == digest.admitted));
     BOOST_TEST((told.usage == digest.usage));
+    BOOST_TEST(told.reads_store);
+    BOOST_TEST((told.echo == digest.echo));
+    BOOST_TEST((told.positions == digest.positions));
+}
+
+BOOST_AUTO_TEST_CASE(the_times_of_the_latest_digests_are_remembered)
+{
+    sent_digests sent;
+    for (std::uint64_t sequence = 1; sequence <= 1000; ++sequence) {
+        sent.add(sequence, monotonic_time{std::chrono::seconds{sequence}});
+    }
+    BOOST_TEST((sent.time_of(990) == monotonic_time{std::chrono::seconds{990}}));
+    BOOST_TEST(!sent.time_of(1).has_value());
+    BOOST_TEST(!sent.time_of(1001).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_digest_fits_a_datagram_and_keeps_the_busiest_endpoints)
