Order no endpoints before those that are there are known

Cause: when a whole deployment starts, the holder of the duties planned before the endpoints had registered. It took their number for zero, ordered three reclaimable ones a zone and gave back all on-demand ones as soon as these ran, so that 60 engines were 12 when the traffic began.

Ruled out: the growth of the orders under load; they followed the load within seconds, but engines take four seconds to boot.

Change: nothing is ordered in the first seconds after a node has its first configuration; the endpoints seen until then are kept until the load is known.

--- a/include/eelgrassbend/duties/scaler.h
+++ b/include/eelgrassbend/duties/scaler.h
@@ -28,7 +28,7 @@
 
     void start();
 
-    void set_table(std::shared_ptr<const route_table> current) { this->table = std::move(current); }
+    void set_table(std::shared_ptr<const route_table> current);
 
 private:
     /// One kind of endpoints of a service in a zone.
@@ -56,6 +56,7 @@
     const load_model& loads;
     duty_calls& calls;
     std::shared_ptr<const route_table> table;
+    std::optional<monotonic_time> table_since; ///< arrival of the first one
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the scaler
     std::optional<timer_id> timer;
     std::map<subject, order_state> orders;
--- a/lib/duties/scaler.cpp
+++ b/lib/duties/scaler.cpp
@@ -11,6 +11,8 @@
 /// Weights of a new look at the load in its average: more load is followed sooner than less.
 static constexpr double rising_weight = 0.25;
 static constexpr double falling_weight = 0.05;
+/// Endpoints register within two of their heartbeats; nothing is ordered before all are known.
+static constexpr std::chrono::seconds settling_time{3};
 /// Until the load has been seen for so long, as many endpoints are kept as there were.
 static constexpr std::chrono::seconds learning_time{12};
 /// More requests under way than this, and the load has begun.
@@ -41,11 +43,20 @@
     });
 }
 
+void scaler::set_table(std::shared_ptr<const route_table> current)
+{
+    this->table = std::move(current);
+    if (!this->table_since) {
+        this->table_since = this->time.now();
+    }
+}
+
 void scaler::tick()
 {
     if (!this->table) {
         return;
     }
+    const bool is_settled = this->time.now() - *this->table_since >= settling_time;
     const auto token = this->lease.token();
     for (const auto& service : this->table->configuration().services) {
         if (!service.scaling) {
@@ -53,7 +64,7 @@
         }
         // The average goes on without the lease, so that a new holder knows the load.
         this->watch_load(service);
-        if (token) {
+        if (token && is_settled) {
             this->plan_service(service, *token);
         }
     }
--- a/unittests/duties/scaling_test.cpp
+++ b/unittests/duties/scaling_test.cpp
@@ -82,6 +82,40 @@
     }
 }
 
+// A whole deployment starts at once: the duties are taken before the endpoints have registered.
+BOOST_AUTO_TEST_CASE(endpoints_that_register_after_the_holder_has_started_are_not_ordered_away)
+{
+    virtual_scheduler time;
+    fakes::fake_store_logs logs;
+    lease_node node{logs, time, "first"};
+    endpoint_table endpoints{seconds{1}};
+    const load_model loads;
+    recording_duty_calls calls;
+    scaler scaling{time, node.log, node.lease, endpoints, loads, calls};
+    routing_configuration configuration;
+    routed_service service;
+    service.id = service_id{"draft"};
+    service.scaling = scaling_limits{1, 30, seconds{4}, 0.2, {{availability_zone{"a"}, 1.0}}};
+    configuration.services = {service};
+    node.lease.start();
+    time.run_for(seconds{10});
+    scaling.set_table(std::make_shared<const route_table>(configuration));
+    scaling.start();
+    time.run_for(seconds{1});
+    for (int index = 0; index < 15; ++index) {
+        endpoint_record record;
+        record.id = endpoint_id{"i-" + std::to_string(index)};
+        record.service = service.id;
+        record.zone = availability_zone{"a"};
+        endpoints.put(record, time.now());
+    }
+    time.run_for(seconds{10});
+    BOOST_REQUIRE(!calls.orders.empty());
+    for (const auto& order : calls.orders) {
+        BOOST_TEST((order.is_reclaimable || order.count >= 15));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(only_the_holder_orders_and_an_order_is_given_once)
 {
     virtual_scheduler time;
