Send digests in small bursts, and usage to those who need it

Cause: a node among 80 sent its digest and its usage to all others at once, up to 160 KB on a link of 10 Mbit/s. The directory named the nodes in the same order, of which an answer takes 64, so the last fifteen got hardly any callers.

Ruled out: nodes that do not know each other (all 79 were heard within two seconds), old digests (none were dropped as old), loss on the wire.

Change: digests go to 20 nodes at a time, each node in its turn within the same 250 ms; usage goes to the holder and the two nodes that would take over; the directory shuffles its answer. Reads of the operators' topic wait a little less, so that confirmations by others stay within the time in which nobody else needs to read.

The test for bursts counts 59 datagrams at once before the change; the one for usage passed before as well, since the fake network loses nothing.

--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace eelgrassbend {
 
@@ -72,7 +73,7 @@
     node_digest make_digest();
     void send_digest();
     void send_usage();
-    void send(const node_digest& digest);
+    void send(const node_digest& digest, const std::vector<network_address>& receivers);
     void receive(const std::string& bytes);
     void take_positions(const node_digest& told);
     /// Whether another node reads the store for the same group.
@@ -97,6 +98,8 @@
     monotonic_time next_digest;
     monotonic_time next_usage;
     std::uint64_t usage_turn = 0;
+    std::uint64_t digest_count = 0;
+    std::uint64_t turns = 1; ///< digests in which each node is addressed once
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool is_leaving = false;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -18,7 +18,7 @@
 static constexpr milliseconds removed_key_margin{700};
 /// Reads of the operators' topic come back at least so often, to confirm the configuration, as a
 /// part of the time for which a confirmation holds.
-static constexpr double configuration_wait_part = 0.2;
+static constexpr double configuration_wait_part = 0.15;
 /// Age of a confirmation by another node after which a node reads for itself, as such a part.
 static constexpr double configuration_silence_part = 0.5;
 /// Endpoints write their records about once a second each, and each read is paid for; reads gather
@@ -321,6 +321,8 @@
     if (this->is_ready() || addresses.empty()) {
         addresses.push_back(this->held->settings.callers);
     }
+    // An answer may have room for a part of them only.
+    std::shuffle(addresses.begin(), addresses.end(), this->held->needs.random);
     return addresses;
 }
 
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -14,10 +14,15 @@
 /// each node that gets them, so that many nodes do not spend their time on them.
 static constexpr std::chrono::milliseconds urgent_interval_time{40};
 static constexpr std::chrono::milliseconds urgent_interval_per_node{5};
+/// Digests go to so many nodes at a time; more at once overflow the link of a small machine.
+static constexpr std::size_t nodes_at_once = 20;
+/// Nodes that hear of usage beside the holder of the duties: those that would take over.
+static constexpr std::size_t successors = 2;
 /// Time between two datagrams with usage; a window is reported well after its end.
 static constexpr std::chrono::milliseconds usage_interval_time{500};
 static constexpr std::size_t windows_in_digest = 2;
-/// Each so many digests goes to silent nodes too, so that they are heard when they come back.
+/// Each so many rounds of digests goes to silent nodes too, so that they are heard when they come
+/// back.
 static constexpr std::uint64_t silent_every = 4;
 /// With fewer nodes than this, one reads the store for all.
 static constexpr std::size_t nodes_with_one_reader = 16;
@@ -123,15 +128,18 @@
 void node_presence::tick()
 {
     const auto now = this->time.now();
-    const auto nodes = static_cast<std::int64_t>(this->fleet.alive(now).size());
-    const auto pause =
-        std::clamp(urgent_interval_per_node * nodes, urgent_interval_time, digest_interval_time);
-    this->timer = this->time.call_after(pause, [this] { this->tick(); });
+    const auto nodes = this->fleet.alive(now).size();
+    this->turns = nodes / (nodes_at_once + 1) + 1;
+    const auto interval = digest_interval_time / this->turns;
+    const auto shortest = std::clamp<duration>(urgent_interval_per_node * nodes,
+                                               urgent_interval_time, digest_interval_time);
+    this->timer = this->time.call_after(std::min<duration>(shortest, interval),
+                                        [this] { this->tick(); });
     const bool needs_digest = this->quotas.needs_digest() || this->loads.needs_digest();
     if (now < this->next_digest && !needs_digest) {
         return;
     }
-    this->next_digest = now + digest_interval_time;
+    this->next_digest = now + interval;
     this->send_digest();
     if (now >= this->next_usage) {
         this->next_usage = now + usage_interval_time;
@@ -170,7 +178,16 @@
     digest.admitted = this->quotas.admitted();
     this->quotas.digest_sent();
     this->loads.digest_sent();
-    this->send(digest);
+    ++this->digest_count;
+    const bool with_silent = this->is_leaving || this->digest_count / this->turns % silent_every == 0;
+    const auto receivers = this->fleet.receivers(this->time.now(), with_silent);
+    std::vector<network_address> chosen;
+    for (std::size_t index = 0; index < receivers.size(); ++index) {
+        if (this->is_leaving || index % this->turns == this->digest_count % this->turns) {
+            chosen.push_back(receivers[index]);
+        }
+    }
+    this->send(digest, chosen);
 }
 
 // Usage has datagrams of its own, since with many organisations it leaves no room for the load. The
@@ -183,15 +200,21 @@
     while (digest.usage.size() > windows_in_digest) {
         digest.usage.erase(is_newest ? digest.usage.begin() : std::prev(digest.usage.end()));
     }
-    this->send(digest);
+    std::vector<network_address> chosen;
+    std::size_t before = 0;
+    for (const auto* node : this->fleet.alive(this->time.now())) {
+        if (node->digest.duty_token || before++ < successors) {
+            chosen.push_back(node->digest.datagrams);
+        }
+    }
+    this->send(digest, chosen);
 }
 
-void node_presence::send(const node_digest& digest)
+void node_presence::send(const node_digest& digest, const std::vector<network_address>& receivers)
 {
     const auto bytes = encode_digest(digest);
     this->sent.add(digest.sequence, this->time.now());
-    const bool with_silent = this->is_leaving || digest.sequence % silent_every == 1;
-    for (const auto& address : this->fleet.receivers(this->time.now(), with_silent)) {
+    for (const auto& address : receivers) {
         this->datagrams.send(address, bytes);
     }
 }
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <set>
 
 namespace eelgrassbend {
@@ -136,6 +137,68 @@
     }
 }
 
+// A burst to all nodes overflows the link of a small machine, and those at its end hear nothing.
+BOOST_AUTO_TEST_CASE(a_node_among_many_sends_in_small_bursts)
+{
+    gateway_fleet fleet{60};
+    const auto sender = gateway_node::address(30, 7600);
+    std::map<network_address, int> sent;
+    std::map<std::int64_t, int> sent_in;
+    fleet.network.set_tap(
+        [&](const network_address& from, const network_address& to, const std::string&) {
+            if (from == sender) {
+                ++sent[to];
+                ++sent_in[fleet.time.now().time_since_epoch() / milliseconds{20}];
+            }
+        });
+    fleet.time.run_for(seconds{4});
+    BOOST_TEST(sent.size() == 59U);
+    for (const auto& [to, count] : sent) {
+        BOOST_TEST(count >= 13);
+    }
+    // About 20 ms of a link of 10 Mbit/s, if all are of the largest size.
+    for (const auto& [interval, count] : sent_in) {
+        BOOST_TEST(count <= 25);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(usage_of_many_nodes_is_reported_in_full)
+{
+    gateway_fleet fleet{40};
+    constexpr int requests = 400;
+    for (int index = 0; index < requests; ++index) {
+        auto& node = *fleet.nodes[static_cast<std::size_t>(index) % fleet.nodes.size()];
+        node.send("/a/1", "r-" + std::to_string(index));
+        if (!node.client.attempts.empty() && node.client.attempts.back()->observer != nullptr) {
+            node.client.attempts.back()->observer->head(200, {});
+        }
+        fleet.time.run_for(milliseconds{100});
+    }
+    fleet.time.run_for(seconds{20});
+    std::uint64_t begun = 0;
+    std::uint64_t reported = 0;
+    for (const auto& node : fleet.nodes) {
+        begun += node->client.attempts.size();
+        for (const auto& report : node->duties.reports) {
+            for (const auto& [id, count] : report.counts) {
+                reported += count;
+            }
+        }
+    }
+    BOOST_TEST(begun >= 300U);
+    BOOST_TEST(reported == begun);
+}
+
+BOOST_AUTO_TEST_CASE(the_directory_names_the_nodes_in_any_order)
+{
+    gateway_fleet fleet{4};
+    std::set<network_address> first;
+    for (int index = 0; index < 50; ++index) {
+        first.insert(fleet.nodes[0]->node.callers().front());
+    }
+    BOOST_TEST(first.size() == 4U);
+}
+
 // Digests that were sent during a pause of this process wait in its socket.
 BOOST_AUTO_TEST_CASE(an_old_confirmation_by_another_node_does_not_count)
 {
