--- a/include/eelgrassbend/duties/scaler.h
+++ b/include/eelgrassbend/duties/scaler.h
@@ -8,6 +8,7 @@
 #include "eelgrassbend/placement/endpoint_table.h"
 #include "eelgrassbend/placement/load_model.h"
 #include "eelgrassbend/routes/route_table.h"
+#include "eelgrassbend/support/repeating_timer.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <map>
@@ -22,7 +23,6 @@
 public:
     scaler(scheduler& time, event_log& log, duty_lease& lease, const endpoint_table& endpoints,
            const load_model& loads, duty_calls& calls);
-    ~scaler();
     scaler(const scaler&) = delete;
     scaler& operator=(const scaler&) = delete;
 
@@ -58,7 +58,7 @@
     std::shared_ptr<const route_table> table;
     std::optional<monotonic_time> table_since; ///< arrival of the first one
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the scaler
-    std::optional<timer_id> timer;
+    repeating_timer timer;
     std::map<subject, order_state> orders;
 
     /// What is known of the load of a service.
--- a/lib/duties/scaler.cpp
+++ b/lib/duties/scaler.cpp
@@ -24,23 +24,19 @@
 
 scaler::scaler(scheduler& time, event_log& log, duty_lease& lease, const endpoint_table& endpoints,
                const load_model& loads, duty_calls& calls)
-    : time(time), log(log), lease(lease), endpoints(endpoints), loads(loads), calls(calls)
+    : time(time),
+      log(log),
+      lease(lease),
+      endpoints(endpoints),
+      loads(loads),
+      calls(calls),
+      timer(time, tick_time)
 {
 }
 
-scaler::~scaler()
-{
-    if (this->timer) {
-        this->time.cancel(*this->timer);
-    }
-}
-
 void scaler::start()
 {
-    this->timer = this->time.call_after(tick_time, [this] {
-        this->tick();
-        this->start();
-    });
+    this->timer.start([this] { this->tick(); });
 }
 
 void scaler::set_table(std::shared_ptr<const route_table> current)
