--- a/include/eelgrassbend/duties/duty_lease.h
+++ b/include/eelgrassbend/duties/duty_lease.h
@@ -38,8 +38,6 @@
 public:
     duty_lease(record_store& store, scheduler& time, event_log& log,
                const duty_candidates& candidates, duty_lease_settings settings);
-    duty_lease(const duty_lease&) = delete;
-    duty_lease& operator=(const duty_lease&) = delete;
 
     void start();
     /// Does not try to get the lease any more and lets it lapse.
--- a/include/eelgrassbend/duties/scaler.h
+++ b/include/eelgrassbend/duties/scaler.h
@@ -23,8 +23,6 @@
 public:
     scaler(scheduler& time, event_log& log, duty_lease& lease, const endpoint_table& endpoints,
            const load_model& loads, duty_calls& calls);
-    scaler(const scaler&) = delete;
-    scaler& operator=(const scaler&) = delete;
 
     void start();
 
@@ -56,7 +54,7 @@
     const load_model& loads;
     duty_calls& calls;
     std::shared_ptr<const route_table> table;
-    std::optional<monotonic_time> table_since; ///< arrival of the first one
+    std::optional<monotonic_time> table_since;             ///< arrival of the first one
     std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the scaler
     repeating_timer timer;
     std::map<subject, order_state> orders;
--- a/include/eelgrassbend/duties/usage_reporter.h
+++ b/include/eelgrassbend/duties/usage_reporter.h
@@ -31,8 +31,6 @@
 public:
     usage_reporter(record_store& store, scheduler& time, event_log& log, duty_lease& lease,
                    const usage_board& board, duty_calls& calls, usage_reporter_settings settings);
-    usage_reporter(const usage_reporter&) = delete;
-    usage_reporter& operator=(const usage_reporter&) = delete;
 
     void start();
 
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -36,8 +36,8 @@
 
     /// What the node's other parts say of it and hear through it.
     struct callbacks {
-        readiness is_ready;         ///< takes new callers
-        readiness reads_store;      ///< its last calls to the store succeeded
+        readiness is_ready;    ///< takes new callers
+        readiness reads_store; ///< its last calls to the store succeeded
         position_handler heard;
         std::function<void()> registered; ///< the others can find this node's record
     };
--- a/lib/duties/duty_lease.cpp
+++ b/lib/duties/duty_lease.cpp
@@ -145,9 +145,8 @@
                           const result<append_answer>& answer)
 {
     if (!answer) {
-        this->log.write(
-            log_level::warning, "lease_append_failed",
-            {{"renewal", is_renewal}, {"error", answer.error().to_string()}});
+        this->log.write(log_level::warning, "lease_append_failed",
+                        {{"renewal", is_renewal}, {"error", answer.error().to_string()}});
         const bool was_not_done =
             answer.error().code == errc::unavailable || answer.error().code == errc::rate_limited;
         if (this->held && !was_not_done) {
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -113,16 +113,15 @@
 {
     this->is_leaving = true;
     this->send_digest();
-    this->store.append(topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}},
-                       std::nullopt,
-                       [this, weak = std::weak_ptr<int>(this->alive)](
-                           const result<append_answer>& answer) {
-                           // The record of a node that is gone does no harm: it is silent.
-                           if (!weak.expired() && !answer) {
-                               this->log.write(log_level::info, "deregister_failed",
-                                               {{"error", answer.error().to_string()}});
-                           }
-                       });
+    this->store.append(
+        topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}}, std::nullopt,
+        [this, weak = std::weak_ptr<int>(this->alive)](const result<append_answer>& answer) {
+            // The record of a node that is gone does no harm: it is silent.
+            if (!weak.expired() && !answer) {
+                this->log.write(log_level::info, "deregister_failed",
+                                {{"error", answer.error().to_string()}});
+            }
+        });
 }
 
 void node_presence::tick()
@@ -133,8 +132,8 @@
     const auto interval = digest_interval_time / this->turns;
     const auto shortest = std::clamp<duration>(urgent_interval_per_node * nodes,
                                                urgent_interval_time, digest_interval_time);
-    this->timer = this->time.call_after(std::min<duration>(shortest, interval),
-                                        [this] { this->tick(); });
+    this->timer =
+        this->time.call_after(std::min<duration>(shortest, interval), [this] { this->tick(); });
     const bool needs_digest = this->quotas.needs_digest() || this->loads.needs_digest();
     if (now < this->next_digest && !needs_digest) {
         return;
@@ -179,7 +178,8 @@
     this->quotas.digest_sent();
     this->loads.digest_sent();
     ++this->digest_count;
-    const bool with_silent = this->is_leaving || this->digest_count / this->turns % silent_every == 0;
+    const bool with_silent =
+        this->is_leaving || this->digest_count / this->turns % silent_every == 0;
     const auto receivers = this->fleet.receivers(this->time.now(), with_silent);
     std::vector<network_address> chosen;
     for (std::size_t index = 0; index < receivers.size(); ++index) {
--- a/lib/placement/placer.cpp
+++ b/lib/placement/placer.cpp
@@ -118,13 +118,12 @@
     const auto waiting = std::max<std::int64_t>(0, load.waiting_prompt);
     const double crowd = 1.0 + slowdown_per_request * load.requests;
     const milliseconds per_token{crowd / prompt_tokens_per_ms};
-    weighed.predicted = engine_overhead + per_token * static_cast<double>(
-                                                          waiting + result.work.uncached_prompt);
+    weighed.predicted =
+        engine_overhead + per_token * static_cast<double>(waiting + result.work.uncached_prompt);
     weighed.wait = result.pace * per_token * static_cast<double>(waiting);
     const double planned = planned_memory * static_cast<double>(state.engine->memory.value());
-    const bool has_memory =
-        state.engine->memory.value() == 0 || load.requests == 0 ||
-        static_cast<double>(load.memory + result.work.memory) <= planned;
+    const bool has_memory = state.engine->memory.value() == 0 || load.requests == 0 ||
+                            static_cast<double>(load.memory + result.work.memory) <= planned;
     const bool is_late = request.longest_wait && weighed.wait > *request.longest_wait;
     weighed.is_full = is_late || !has_memory;
 }
@@ -148,8 +147,8 @@
         const double crowd = static_cast<double>(result.load.requests) / slots;
         weighed.predicted = plain_time * (1.0 + 0.5 * crowd + queued / slots);
     }
-    weighed.is_full = weighed.is_full ||
-                      result.load.requests >= static_cast<int>(slots * (1.0 + queue_share));
+    weighed.is_full =
+        weighed.is_full || result.load.requests >= static_cast<int>(slots * (1.0 + queue_share));
     result.predicted = std::chrono::duration_cast<duration>(weighed.predicted);
     weighed.score = result.pace * weighed.predicted;
     weighed.score += this->loads.failure_share(id, state.now) * failure_cost;
@@ -162,8 +161,7 @@
     if (this->loads.is_suspended(id, state.now)) {
         weighed.score += suspended_penalty;
     }
-    weighed.score +=
-        std::chrono::duration_cast<milliseconds>(this->loads.overdue(id, state.now));
+    weighed.score += std::chrono::duration_cast<milliseconds>(this->loads.overdue(id, state.now));
     weighed.score += spread * random_unit(this->random);
     return weighed;
 }
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -145,13 +145,12 @@
 void keyed_follower::pass_on(monotonic_time asked)
 {
     if (this->relay.is_reader()) {
-        this->relay.pass_on(
-            this->window.positions(this->topic.name, this->time.now() - asked));
+        this->relay.pass_on(this->window.positions(this->topic.name, this->time.now() - asked));
     }
 }
 
-// Both count: a reader that is cut off from the store still passes on what it knew, and one that has
-// stopped leaves a confirmation that is young for a while.
+// Both count: a reader that is cut off from the store still passes on what it knew, and one that
+// has stopped leaves a confirmation that is young for a while.
 duration keyed_follower::relayed_for() const
 {
     if (!this->heard_at || !this->fresh || this->relay.is_reader()) {
--- a/lib/store/topic_relay.cpp
+++ b/lib/store/topic_relay.cpp
@@ -43,8 +43,8 @@
             }
             if (bytes + size > longest_position) {
                 open.to = record.offset;
-                done.push_back(std::exchange(
-                    open, {topic, record.offset, record.offset, age, false, {}}));
+                done.push_back(
+                    std::exchange(open, {topic, record.offset, record.offset, age, false, {}}));
                 bytes = 0;
             }
             bytes += size;
--- a/tools/eelgrassbend-gateway/gateway_services.cpp
+++ b/tools/eelgrassbend-gateway/gateway_services.cpp
@@ -125,8 +125,9 @@
         {{"scheduler"},
          {"log_output",
           [settings](const resolved_services& needs) {
-              return std::make_shared<hosted<json_event_log>>(
-                  needs.get<scheduler>("scheduler"), settings.node, parse_log_level(settings.log_level));
+              return std::make_shared<hosted<json_event_log>>(needs.get<scheduler>("scheduler"),
+                                                              settings.node,
+                                                              parse_log_level(settings.log_level));
           }}},
         {{"log_output", "scheduler"},
          {"event_log",
--- a/unittests/fleet/node_digest_test.cpp
+++ b/unittests/fleet/node_digest_test.cpp
@@ -22,13 +22,13 @@
     digest.usage[usage_window{77}][organisation_id{"lodge"}] = 41;
     digest.reads_store = true;
     digest.echo = digest_number{5, 6};
-    digest.positions = {{"servers",
-                         log_offset{3},
-                         log_offset{9},
-                         std::chrono::milliseconds{120},
-                         true,
-                         {{log_offset{4}, "i-1", std::string{"a\0b", 3}},
-                          {log_offset{5}, "i-2", std::nullopt}}}};
+    digest.positions = {
+        {"servers",
+         log_offset{3},
+         log_offset{9},
+         std::chrono::milliseconds{120},
+         true,
+         {{log_offset{4}, "i-1", std::string{"a\0b", 3}}, {log_offset{5}, "i-2", std::nullopt}}}};
     return digest;
 }
 
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -66,8 +66,7 @@
     gateway_fleet fleet{2};
     auto& cut = *fleet.nodes[0];
     cut.store.is_down = true;
-    fleet.network.set_filter(
-        [](const network_address&, const network_address&) { return false; });
+    fleet.network.set_filter([](const network_address&, const network_address&) { return false; });
     fleet.configure(5, "k-2");
     fleet.time.run_for(gateway_bounds{}.removed_key);
     BOOST_TEST(cut.send("/a/1", "r-1")->status == 503);
@@ -206,19 +205,18 @@
     auto& paused = *fleet.nodes[1];
     std::vector<std::string> held;
     const auto to_paused = gateway_node::address(2, 7600);
-    fleet.network.set_tap([&](const network_address&, const network_address& to,
-                              const std::string& bytes) {
-        if (to == to_paused) {
-            held.push_back(bytes);
-        }
-    });
+    fleet.network.set_tap(
+        [&](const network_address&, const network_address& to, const std::string& bytes) {
+            if (to == to_paused) {
+                held.push_back(bytes);
+            }
+        });
     fleet.time.run_for(seconds{1});
     fleet.network.set_tap({});
-    fleet.network.set_filter(
-        [](const network_address&, const network_address&) { return false; });
+    fleet.network.set_filter([](const network_address&, const network_address&) { return false; });
     paused.store.is_down = true;
     fleet.time.run_for(gateway_bounds{}.removed_key);
-    for (auto bytes : held) {
+    for (const auto& bytes : held) {
         auto digest = decode_digest(bytes).value();
         digest.sequence += 1'000'000;
         paused.datagrams.receive(gateway_node::address(1, 7600), encode_digest(digest));
--- a/unittests/serving/forward_flow_test.cpp
+++ b/unittests/serving/forward_flow_test.cpp
@@ -336,7 +336,8 @@
     BOOST_TEST(answer->ended);
 }
 
-BOOST_FIXTURE_TEST_CASE(a_resumable_stream_goes_on_elsewhere_where_runs_cannot_move, leaving_fixture)
+BOOST_FIXTURE_TEST_CASE(a_resumable_stream_goes_on_elsewhere_where_runs_cannot_move,
+                        leaving_fixture)
 {
     this->configuration.services.front().engine->can_move = false;
     this->apply();
