Let one piece of code serve what stood several times

Cause: a last reading of the whole change. Twelve callbacks checked by hand whether their object still exists, as two of the product's did with a member of their own. A flow armed five timers by the same lines. Milliseconds for records were counted out in ten places, parts of a duration in seven, and both daemons had their own way to fail a start.

Ruled out: one parser for addresses; the three there are differ in what they accept (port 0, blanks, signs), and that is behaviour.

Change: callback_scope, part_of, whole_milliseconds, require (in the kernel, whose convention it is) and forward_flow::run_after, used by the new code and by its twins. keyed_follower no longer keeps whether it is reading: it has a timer exactly when no call is under way. The two tests of the scaler share their set-up; their assertions are the same.

--- a/include/eelgrassbend/dissemination/epidemic_dissemination.h
+++ b/include/eelgrassbend/dissemination/epidemic_dissemination.h
@@ -3,13 +3,13 @@
 
 #include "eelgrassbend/membership/membership.h"
 #include "eelgrassbend/peers/peer_channel.h"
+#include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -110,7 +110,7 @@
     dissemination_counters counts;
     timer_id timer;
     bool running = false;
-    std::shared_ptr<bool> lifetime; ///< expires with this object, for late member changes
+    callback_scope scope; ///< for late member changes
 };
 
 /// Forwards to random peers and compares with a random peer.
--- a/include/eelgrassbend/duties/duty_lease.h
+++ b/include/eelgrassbend/duties/duty_lease.h
@@ -3,11 +3,11 @@
 
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/store/record_store.h"
+#include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/repeating_timer.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <functional>
-#include <memory>
 #include <optional>
 
 namespace eelgrassbend {
@@ -54,14 +54,13 @@
     void append(bool is_renewal);
     void appended(monotonic_time asked, bool is_renewal, const result<append_answer>& answer);
     void lose(const char* reason);
-    [[nodiscard]] store_record make_record() const;
 
     record_store& store;
     scheduler& time;
     event_log& log;
     const duty_candidates& candidates;
     duty_lease_settings settings;
-    std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the lease
+    callback_scope scope;
     repeating_timer timer;
     std::optional<fencing_token> held;
     monotonic_time renewed_at;
--- a/include/eelgrassbend/duties/scaler.h
+++ b/include/eelgrassbend/duties/scaler.h
@@ -8,6 +8,7 @@
 #include "eelgrassbend/placement/endpoint_table.h"
 #include "eelgrassbend/placement/load_model.h"
 #include "eelgrassbend/routes/route_table.h"
+#include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/repeating_timer.h"
 #include "eelgrassbend/support/scheduler.h"
 
@@ -54,8 +55,8 @@
     const load_model& loads;
     duty_calls& calls;
     std::shared_ptr<const route_table> table;
-    std::optional<monotonic_time> table_since;             ///< arrival of the first one
-    std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the scaler
+    std::optional<monotonic_time> table_since; ///< arrival of the first one
+    callback_scope scope;
     repeating_timer timer;
     std::map<subject, order_state> orders;
 
--- a/include/eelgrassbend/duties/usage_reporter.h
+++ b/include/eelgrassbend/duties/usage_reporter.h
@@ -6,11 +6,11 @@
 #include "eelgrassbend/duties/usage_board.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/store/record_store.h"
+#include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/repeating_timer.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -52,7 +52,7 @@
     const usage_board& board;
     duty_calls& calls;
     usage_reporter_settings settings;
-    std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the reporter
+    callback_scope scope;
     repeating_timer timer;
     std::optional<fencing_token> term; ///< for which the records were read
     bool records_current = false;
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -9,10 +9,10 @@
 #include "eelgrassbend/peers/peer_transport.h"
 #include "eelgrassbend/placement/load_model.h"
 #include "eelgrassbend/store/keyed_follower.h"
+#include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <functional>
-#include <memory>
 #include <vector>
 
 namespace eelgrassbend {
@@ -92,7 +92,7 @@
     const duty_lease* lease = nullptr;
     callbacks others;
     sent_digests sent;
-    std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with this
+    callback_scope scope;
     std::optional<timer_id> timer;
     std::optional<timer_id> register_timer;
     monotonic_time next_digest;
--- a/include/eelgrassbend/kernel/hosted.h
+++ b/include/eelgrassbend/kernel/hosted.h
@@ -2,11 +2,23 @@
 #define EELGRASSBEND_KERNEL_HOSTED_H
 
 #include "eelgrassbend/kernel/kernel.h"
+#include "eelgrassbend/support/error.h"
 
+#include <system_error>
 #include <utility>
 
 namespace eelgrassbend {
 
+/// Fails the start of the kernel from within a factory, where nothing else can be done. Throws
+/// std::system_error.
+template <typename Value>
+void require(const result<Value>& made)
+{
+    if (!made) {
+        throw std::system_error(made.error().code, made.error().to_string());
+    }
+}
+
 /// Makes a component a service of the kernel. The component's own `start()` and
 /// `stop(done)` or `stop()` are used if it has them.
 template <typename Component>
--- a/include/eelgrassbend/membership/swim_membership.h
+++ b/include/eelgrassbend/membership/swim_membership.h
@@ -3,6 +3,7 @@
 
 #include "eelgrassbend/membership/membership.h"
 #include "eelgrassbend/peers/peer_channel.h"
+#include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/scheduler.h"
 
@@ -156,7 +157,7 @@
     std::vector<node_id> probe_order;
     std::optional<outstanding_probe> outstanding;
     std::vector<relayed_probe> relayed;
-    std::shared_ptr<bool> lifetime; ///< expires with this object, for late host list answers
+    callback_scope scope; ///< for late host list answers
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -106,6 +106,9 @@
     void deliver();
     void count_usage();
     void close(const char* outcome);
+    /// Takes `step` after `delay` unless the flow has ended; replaces what `timer` was set for.
+    void run_after(duration delay, std::optional<timer_id> forward_flow::* timer,
+                   void (forward_flow::*step)());
     void cancel_timer(std::optional<timer_id>& timer);
 
     const forward_services& services;
--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -4,10 +4,10 @@
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/store/record_store.h"
 #include "eelgrassbend/store/topic_relay.h"
+#include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/scheduler.h"
 
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -90,7 +90,7 @@
     store_topic topic;
     follower_settings settings;
     keyed_observer& observer;
-    std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the follower
+    callback_scope scope;
     std::optional<timer_id> timer;
     std::set<std::string> keys;         ///< that have a record
     std::set<std::string> seen;         ///< in the pages read so far
@@ -103,7 +103,6 @@
     relay_window window;
     std::optional<monotonic_time> heard_at; ///< newest confirmation by another node
     bool failing = false;
-    bool is_reading = false; ///< a read of the log is under way
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/support/units.h
+++ b/include/eelgrassbend/support/units.h
@@ -24,7 +24,13 @@
 /// Time since the Unix epoch as this host believes it to be.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, duration>;
 
-/// Rounded towards zero, for log lines and headers.
+/// `part` times `whole`, such as a share of a bound.
+constexpr duration part_of(double part, duration whole)
+{
+    return std::chrono::duration_cast<duration>(part * whole);
+}
+
+/// Rounded towards zero, for log lines, headers and records.
 constexpr std::int64_t whole_milliseconds(duration span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
--- a/lib/bundle/bundle_codec.cpp
+++ b/lib/bundle/bundle_codec.cpp
@@ -7,11 +7,6 @@
 
 namespace eelgrassbend {
 
-static std::int64_t to_milliseconds(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 static nlohmann::json encode_prices(const tariff& prices)
 {
     return {
@@ -33,9 +28,9 @@
         {"kind", service.kind == service_kind::model ? "model" : "plain"},
         {"model", service.model.value()},
         {"routing_policy", service.routing_policy},
-        {"first_token_target_ms", to_milliseconds(service.first_token_target)},
-        {"between_tokens_target_ms", to_milliseconds(service.between_tokens_target)},
-        {"request_deadline_ms", to_milliseconds(service.request_deadline)},
+        {"first_token_target_ms", whole_milliseconds(service.first_token_target)},
+        {"between_tokens_target_ms", whole_milliseconds(service.between_tokens_target)},
+        {"request_deadline_ms", whole_milliseconds(service.request_deadline)},
         {"checks_fencing", service.checks_fencing},
         {"repeatable_methods", service.repeatable_methods},
         {"quick_slot_share", service.quick_slot_share},
--- a/lib/bundle/bundle_follower.cpp
+++ b/lib/bundle/bundle_follower.cpp
@@ -96,7 +96,7 @@
 duration bundle_follower::jittered(duration delay)
 {
     const auto factor = 1.0 + jitter_share * (2.0 * random_unit(this->random) - 1.0);
-    return std::chrono::duration_cast<duration>(delay * factor);
+    return part_of(factor, delay);
 }
 
 void bundle_follower::poll()
--- a/lib/claims/log_claim_service.cpp
+++ b/lib/claims/log_claim_service.cpp
@@ -369,8 +369,7 @@
     auto state = std::make_shared<progress>();
     state->open = batch.value().records.size();
     state->verdicts.resize(state->open);
-    const auto patience =
-        std::chrono::duration_cast<duration>(this->context->settings.owner_timeout * served_share);
+    const auto patience = part_of(served_share, this->context->settings.owner_timeout);
     for (std::size_t index = 0; index < state->verdicts.size(); ++index) {
         partition.submit(std::move(batch.value().records[index]), patience, true,
                          [state, index, answer](const record_verdict& verdict) {
--- a/lib/dissemination/epidemic_dissemination.cpp
+++ b/lib/dissemination/epidemic_dissemination.cpp
@@ -19,8 +19,7 @@
 
 static std::uint32_t to_milliseconds(duration span)
 {
-    return static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    return static_cast<std::uint32_t>(whole_milliseconds(span));
 }
 
 epidemic_dissemination::epidemic_dissemination(dissemination_options options, membership& members,
@@ -31,17 +30,13 @@
       channel(channel),
       time(time),
       random(random),
-      position(stable_hash(members.self().id.value())),
-      lifetime(std::make_shared<bool>(true))
+      position(stable_hash(members.self().id.value()))
 {
     for (const auto& known : members.peers()) {
         this->member_changed(known);
     }
-    members.on_change([this, alive = std::weak_ptr<bool>(this->lifetime)](const member& changed) {
-        if (!alive.expired()) {
-            this->member_changed(changed);
-        }
-    });
+    members.on_change(
+        this->scope.guard([this](const member& changed) { this->member_changed(changed); }));
     channel.on_rumour([this](const network_address& from, const peer_message& message) {
         this->receive(from, message);
     });
--- a/lib/duties/duty_lease.cpp
+++ b/lib/duties/duty_lease.cpp
@@ -82,14 +82,11 @@
 void duty_lease::look()
 {
     this->call_under_way = true;
-    this->store.read(
-        this->settings.topic, this->end, duration::zero(),
-        [this, weak = std::weak_ptr<int>(this->alive)](const result<store_page>& page) {
-            if (!weak.expired()) {
-                this->call_under_way = false;
-                this->looked(page);
-            }
-        });
+    this->store.read(this->settings.topic, this->end, duration::zero(),
+                     this->scope.guard([this](const result<store_page>& page) {
+                         this->call_under_way = false;
+                         this->looked(page);
+                     }));
 }
 
 // A holder appends at least once in a lease. If the end has stayed where it was for a lease, the
@@ -119,24 +116,17 @@
     this->still_since = now;
 }
 
-store_record duty_lease::make_record() const
-{
-    return {log_offset{}, {}, this->settings.node.value()};
-}
-
 // Fails if another node has appended since this one looked.
 void duty_lease::append(bool is_renewal)
 {
     this->call_under_way = true;
     const auto asked = this->time.now();
-    this->store.append(this->settings.topic, {this->make_record()}, this->end,
-                       [this, asked, is_renewal, weak = std::weak_ptr<int>(this->alive)](
-                           const result<append_answer>& answer) {
-                           if (!weak.expired()) {
-                               this->call_under_way = false;
-                               this->appended(asked, is_renewal, answer);
-                           }
-                       });
+    this->store.append(
+        this->settings.topic, {{log_offset{}, {}, this->settings.node.value()}}, this->end,
+        this->scope.guard([this, asked, is_renewal](const result<append_answer>& answer) {
+            this->call_under_way = false;
+            this->appended(asked, is_renewal, answer);
+        }));
 }
 
 // An append whose answer is lost may have taken effect: the end is then not where it was, and the
--- a/lib/duties/scaler.cpp
+++ b/lib/duties/scaler.cpp
@@ -138,13 +138,10 @@
 {
     auto& state = this->orders[{order.service, order.zone, order.is_reclaimable}];
     state = {order.count, this->time.now(), token, true, std::nullopt};
-    this->calls.order(
-        token, order,
-        [this, order, token, weak = std::weak_ptr<int>(this->alive)](const result<void>& answer) {
-            if (!weak.expired()) {
-                this->answered(order, token, answer);
-            }
-        });
+    this->calls.order(token, order,
+                      this->scope.guard([this, order, token](const result<void>& answer) {
+                          this->answered(order, token, answer);
+                      }));
 }
 
 void scaler::answered(const scaling_order& order, fencing_token token, const result<void>& answer)
--- a/lib/duties/usage_reporter.cpp
+++ b/lib/duties/usage_reporter.cpp
@@ -104,14 +104,11 @@
 void usage_reporter::read_records()
 {
     this->call_under_way = true;
-    this->store.read(
-        this->settings.topic, this->end, duration::zero(),
-        [this, weak = std::weak_ptr<int>(this->alive)](const result<store_page>& page) {
-            if (!weak.expired()) {
-                this->call_under_way = false;
-                this->records_read(page);
-            }
-        });
+    this->store.read(this->settings.topic, this->end, duration::zero(),
+                     this->scope.guard([this](const result<store_page>& page) {
+                         this->call_under_way = false;
+                         this->records_read(page);
+                     }));
 }
 
 void usage_reporter::records_read(const result<store_page>& page)
@@ -146,15 +143,12 @@
 {
     auto counts = this->board.total(window);
     this->call_under_way = true;
-    this->store.append(this->settings.topic, {{log_offset{}, {}, encode(window, counts)}},
-                       this->end,
-                       [this, window, counts, weak = std::weak_ptr<int>(this->alive)](
-                           const result<append_answer>& answer) {
-                           if (!weak.expired()) {
-                               this->call_under_way = false;
-                               this->agreed(window, counts, answer);
-                           }
-                       });
+    this->store.append(
+        this->settings.topic, {{log_offset{}, {}, encode(window, counts)}}, this->end,
+        this->scope.guard([this, window, counts](const result<append_answer>& answer) {
+            this->call_under_way = false;
+            this->agreed(window, counts, answer);
+        }));
 }
 
 void usage_reporter::agreed(usage_window window, const usage_counts& counts,
@@ -180,14 +174,12 @@
         return;
     }
     this->call_under_way = true;
-    this->calls.report_usage(*token, window, this->records.at(window),
-                             [this, window, token = *token,
-                              weak = std::weak_ptr<int>(this->alive)](const result<void>& answer) {
-                                 if (!weak.expired()) {
-                                     this->call_under_way = false;
-                                     this->reported(window, token, answer);
-                                 }
-                             });
+    this->calls.report_usage(
+        *token, window, this->records.at(window),
+        this->scope.guard([this, window, token = *token](const result<void>& answer) {
+            this->call_under_way = false;
+            this->reported(window, token, answer);
+        }));
 }
 
 void usage_reporter::reported(usage_window window, fencing_token token, const result<void>& answer)
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassbend/placement/placer.h"
 #include "eelgrassbend/placement/prompt_cache.h"
+#include "eelgrassbend/support/callback_scope.h"
 
 #include "declaration_observers.h"
 
@@ -51,11 +52,6 @@
     return derived;
 }
 
-static duration part_of(double part, duration whole)
-{
-    return std::chrono::duration_cast<duration>(part * whole);
-}
-
 static duration missing_time(const gateway_settings& settings)
 {
     return part_of(missing_part, settings.bounds.draining);
@@ -137,7 +133,7 @@
     keyed_follower nodes;
     table_observer on_table;
     bool is_stopping = false;
-    std::shared_ptr<int> alive = std::make_shared<int>(0); ///< ends callbacks with the gateway
+    callback_scope scope;
 };
 
 gateway::parts::parts(const gateway_needs& outside, const gateway_settings& node_settings)
@@ -237,13 +233,11 @@
         this->front.endpoint_leaving(record);
         return;
     }
-    this->needs.mover.ask_leaving(record.address,
-                                  [this, record, asked, weak = std::weak_ptr<int>(this->alive)](
-                                      const result<std::optional<duration>>& answer) {
-                                      if (!weak.expired()) {
-                                          this->leaving_answered(record, asked + 1, answer);
-                                      }
-                                  });
+    this->needs.mover.ask_leaving(
+        record.address,
+        this->scope.guard([this, record, asked](const result<std::optional<duration>>& answer) {
+            this->leaving_answered(record, asked + 1, answer);
+        }));
 }
 
 // An engine's report is a little old: the first one may come from before the notice. One that does
@@ -262,12 +256,9 @@
         return;
     }
     if (asked < leaving_questions) {
-        this->needs.time.call_after(report_age,
-                                    [this, record, asked, weak = std::weak_ptr<int>(this->alive)] {
-                                        if (!weak.expired()) {
-                                            this->endpoint_leaving(record, asked);
-                                        }
-                                    });
+        this->needs.time.call_after(report_age, this->scope.guard([this, record, asked] {
+            this->endpoint_leaving(record, asked);
+        }));
     }
 }
 
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -73,21 +73,17 @@
 {
     const nlohmann::json record{{"ip", this->identity.datagrams.ip},
                                 {"port", this->identity.datagrams.port}};
-    this->store.append(
-        topic(), {{log_offset{}, this->identity.node.value(), record.dump()}}, std::nullopt,
-        [this, weak = std::weak_ptr<int>(this->alive)](const result<append_answer>& answer) {
-            if (weak.expired()) {
-                return;
-            }
-            if (answer) {
-                this->others.registered();
-                return;
-            }
-            this->log.write(log_level::warning, "register_failed",
-                            {{"error", answer.error().to_string()}});
-            this->register_timer =
-                this->time.call_after(register_pause, [this] { this->register_node(); });
-        });
+    this->store.append(topic(), {{log_offset{}, this->identity.node.value(), record.dump()}},
+                       std::nullopt, this->scope.guard([this](const result<append_answer>& answer) {
+                           if (answer) {
+                               this->others.registered();
+                               return;
+                           }
+                           this->log.write(log_level::warning, "register_failed",
+                                           {{"error", answer.error().to_string()}});
+                           this->register_timer = this->time.call_after(
+                               register_pause, [this] { this->register_node(); });
+                       }));
 }
 
 bool node_presence::record_written(const std::string& key, const std::string& value)
@@ -113,15 +109,14 @@
 {
     this->is_leaving = true;
     this->send_digest();
-    this->store.append(
-        topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}}, std::nullopt,
-        [this, weak = std::weak_ptr<int>(this->alive)](const result<append_answer>& answer) {
-            // The record of a node that is gone does no harm: it is silent.
-            if (!weak.expired() && !answer) {
-                this->log.write(log_level::info, "deregister_failed",
-                                {{"error", answer.error().to_string()}});
-            }
-        });
+    this->store.append(topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}},
+                       std::nullopt, this->scope.guard([this](const result<append_answer>& answer) {
+                           // The record of a node that is gone does no harm: it is silent.
+                           if (!answer) {
+                               this->log.write(log_level::info, "deregister_failed",
+                                               {{"error", answer.error().to_string()}});
+                           }
+                       }));
 }
 
 void node_presence::tick()
@@ -145,7 +140,7 @@
         this->send_usage();
     }
     this->quotas.set_heard_share(this->fleet.heard_share(now), now);
-    this->retries.set_node_count(this->fleet.alive(now).size() + 1);
+    this->retries.set_node_count(nodes + 1);
     for (const auto& [node, known] : this->fleet.all()) {
         if (now - known.heard >= node_silence) {
             this->loads.forget_peer(node);
--- a/lib/membership/swim_membership.cpp
+++ b/lib/membership/swim_membership.cpp
@@ -44,12 +44,11 @@
       table(std::make_unique<member_table>()),
       updates(std::make_unique<update_queue>()),
       versions(std::make_unique<version_exchange>()),
-      extra_datagrams(max_extra_datagrams),
-      lifetime(std::make_shared<bool>(true))
+      extra_datagrams(max_extra_datagrams)
 {
     const auto since_epoch = this->time.wall_now().time_since_epoch();
-    const auto start = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
-    this->own.incarnation = static_cast<std::uint64_t>(start) << refutation_bits;
+    const auto start = static_cast<std::uint64_t>(whole_milliseconds(since_epoch));
+    this->own.incarnation = start << refutation_bits;
     this->own.state = member_state::alive;
     this->channel.on_swim([this](const network_address& from, const swim_message& message) {
         this->receive(from, message);
@@ -123,7 +122,7 @@
 duration swim_membership::suspicion_time() const
 {
     const auto periods = this->options.suspicion_factor * size_logarithm(this->table->live_count());
-    return std::chrono::duration_cast<duration>(this->options.probe_period * periods);
+    return part_of(periods, this->options.probe_period);
 }
 
 void swim_membership::schedule_tick()
@@ -328,8 +327,8 @@
 
 void swim_membership::fetch_host_list()
 {
-    this->hosts.fetch([this, alive = std::weak_ptr<bool>(this->lifetime)](auto answer) {
-        if (alive.expired() || !this->running) {
+    this->hosts.fetch(this->scope.guard([this](const result<std::vector<host_entry>>& answer) {
+        if (!this->running) {
             return;
         }
         if (!answer) {
@@ -337,7 +336,7 @@
             return;
         }
         this->contact_unknown_hosts(answer.value());
-    });
+    }));
 }
 
 // The list lags: an entry is only a hint where to ask, a member is who answers.
--- a/lib/peers/frame_authenticator.cpp
+++ b/lib/peers/frame_authenticator.cpp
@@ -89,14 +89,12 @@
 
 static std::uint64_t to_milliseconds(wall_time time)
 {
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+    return static_cast<std::uint64_t>(whole_milliseconds(time.time_since_epoch()));
 }
 
 static bool within_time_window(std::uint64_t time_ms, wall_time now)
 {
-    const auto window = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time_window).count());
+    const auto window = static_cast<std::uint64_t>(whole_milliseconds(time_window));
     const auto now_ms = to_milliseconds(now);
     const auto distance = std::max(now_ms, time_ms) - std::min(now_ms, time_ms);
     return distance <= window;
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -58,13 +58,8 @@
             self->caller_gone();
         }
     });
-    const auto left = this->final_time() - this->services.time.now();
-    this->final_timer = this->services.time.call_after(left, [weak] {
-        if (const auto self = weak.lock()) {
-            self->final_timer.reset();
-            self->time_passed();
-        }
-    });
+    this->run_after(this->final_time() - this->services.time.now(), &forward_flow::final_timer,
+                    &forward_flow::time_passed);
     this->place();
 }
 
@@ -111,7 +106,7 @@
     const auto& settings = this->services.settings;
     const double part =
         settings.wait_part * std::pow(settings.wait_part_per_priority, this->request.priority);
-    return std::chrono::duration_cast<duration>(part * *objective);
+    return part_of(part, *objective);
 }
 
 std::optional<engine_traits> forward_flow::engine() const
@@ -138,20 +133,14 @@
     if (!this->waiting_since) {
         this->waiting_since = now;
     }
-    const auto hold = std::chrono::duration_cast<duration>(this->services.settings.hold_part *
-                                                           this->request.chosen->objective);
+    const auto hold = part_of(this->services.settings.hold_part, this->request.chosen->objective);
     const bool has_room_soon =
         found.reason == placement_failure::all_full &&
         now - *this->waiting_since + this->services.settings.placement_pause < hold;
     if (this->stream_started || has_room_soon) {
         this->excluded.clear();
-        this->place_timer = this->services.time.call_after(
-            this->services.settings.placement_pause, [weak = this->weak_from_this()] {
-                if (const auto self = weak.lock(); self && self->open) {
-                    self->place_timer.reset();
-                    self->place();
-                }
-            });
+        this->run_after(this->services.settings.placement_pause, &forward_flow::place_timer,
+                        &forward_flow::place);
         return;
     }
     const bool is_full = found.reason == placement_failure::all_full;
@@ -223,17 +212,10 @@
         return;
     }
     const auto& settings = this->services.settings;
-    const auto expected = std::chrono::duration_cast<duration>(settings.first_byte_factor *
-                                                               chosen.pace * chosen.predicted);
+    const auto expected = part_of(settings.first_byte_factor * chosen.pace, chosen.predicted);
     const auto timeout = std::clamp(expected, settings.shortest_first_byte_timeout,
                                     settings.longest_first_byte_timeout);
-    this->first_byte_timer =
-        this->services.time.call_after(timeout, [weak = this->weak_from_this()] {
-            if (const auto self = weak.lock(); self && self->open) {
-                self->first_byte_timer.reset();
-                self->first_byte_overdue();
-            }
-        });
+    this->run_after(timeout, &forward_flow::first_byte_timer, &forward_flow::first_byte_overdue);
 }
 
 void forward_flow::first_byte_overdue()
@@ -548,6 +530,19 @@
     this->on_ended(*this);
 }
 
+void forward_flow::run_after(duration delay, std::optional<timer_id> forward_flow::* timer,
+                             void (forward_flow::*step)())
+{
+    this->cancel_timer(this->*timer);
+    this->*timer =
+        this->services.time.call_after(delay, [weak = this->weak_from_this(), timer, step] {
+            if (const auto self = weak.lock(); self && self->open) {
+                ((*self).*timer).reset();
+                ((*self).*step)();
+            }
+        });
+}
+
 void forward_flow::cancel_timer(std::optional<timer_id>& timer)
 {
     if (timer) {
--- a/lib/serving/forward_front.cpp
+++ b/lib/serving/forward_front.cpp
@@ -162,11 +162,8 @@
          {"error", refused.reason.to_string()},
          {"organisation", request.caller.value_or(organisation_id{}).value()},
          {"configuration", this->version().value()},
-         {"configuration_age_ms", this->confirmed
-                                      ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                                            request.received - *this->confirmed)
-                                            .count()
-                                      : -1}});
+         {"configuration_age_ms",
+          this->confirmed ? whole_milliseconds(request.received - *this->confirmed) : -1}});
     this->services.counters.count("eelgrassbend_refusals_total",
                                   {{"status", std::to_string(refused.status)}}, 1);
     request.answer->respond(refused.status, this->services.protocol.refusal_headers(refused), {},
--- a/lib/serving/forward_move.cpp
+++ b/lib/serving/forward_move.cpp
@@ -30,12 +30,7 @@
 
 void forward_flow::move_later(duration pause)
 {
-    this->move_timer = this->services.time.call_after(pause, [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock(); self && self->open) {
-            self->move_timer.reset();
-            self->move_run();
-        }
-    });
+    this->run_after(pause, &forward_flow::move_timer, &forward_flow::move_run);
 }
 
 void forward_flow::move_run()
@@ -98,13 +93,7 @@
         this->go_on_moved();
         return;
     }
-    this->move_timer =
-        this->services.time.call_after(stream_end_wait, [weak = this->weak_from_this()] {
-            if (const auto flow = weak.lock(); flow && flow->open) {
-                flow->move_timer.reset();
-                flow->go_on_moved();
-            }
-        });
+    this->run_after(stream_end_wait, &forward_flow::move_timer, &forward_flow::go_on_moved);
 }
 
 bool forward_flow::ended_for_move()
--- a/lib/settings/toml_reader.cpp
+++ b/lib/settings/toml_reader.cpp
@@ -184,14 +184,12 @@
 duration toml_reader::milliseconds(const std::string& key, duration least, duration most,
                                    std::optional<duration> otherwise)
 {
-    const auto count = [](duration span) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-    };
     std::optional<std::int64_t> fallback;
     if (otherwise) {
-        fallback = count(*otherwise);
+        fallback = whole_milliseconds(*otherwise);
     }
-    return std::chrono::milliseconds{this->integer(key, count(least), count(most), fallback)};
+    return std::chrono::milliseconds{
+        this->integer(key, whole_milliseconds(least), whole_milliseconds(most), fallback)};
 }
 
 toml_reader toml_reader::table(const std::string& key, bool required)
--- a/lib/standin/execution_log.cpp
+++ b/lib/standin/execution_log.cpp
@@ -10,7 +10,7 @@
 
 std::int64_t to_epoch_ms(wall_time time)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    return whole_milliseconds(time.time_since_epoch());
 }
 
 execution_log::execution_log(const std::string& file)
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -50,13 +50,10 @@
 void keyed_follower::read_newest(const std::string& after)
 {
     const auto asked = this->time.now();
-    this->store.read_newest(
-        this->topic, after,
-        [this, asked, weak = std::weak_ptr<int>(this->alive)](const result<newest_page>& page) {
-            if (!weak.expired()) {
-                this->newest_read(asked, page);
-            }
-        });
+    this->store.read_newest(this->topic, after,
+                            this->scope.guard([this, asked](const result<newest_page>& page) {
+                                this->newest_read(asked, page);
+                            }));
 }
 
 // Pages are not a snapshot: records may change between them. The log is therefore read from its
@@ -101,15 +98,10 @@
 void keyed_follower::read_log()
 {
     const auto asked = this->time.now();
-    this->is_reading = true;
-    this->store.read(
-        this->topic, *this->next, this->settings.longest_wait,
-        [this, asked, weak = std::weak_ptr<int>(this->alive)](const result<store_page>& page) {
-            if (!weak.expired()) {
-                this->is_reading = false;
-                this->log_read(asked, page);
-            }
-        });
+    this->store.read(this->topic, *this->next, this->settings.longest_wait,
+                     this->scope.guard([this, asked](const result<store_page>& page) {
+                         this->log_read(asked, page);
+                     }));
 }
 
 void keyed_follower::log_read(monotonic_time asked, const result<store_page>& page)
@@ -176,7 +168,8 @@
         return; // the newest records are still being read
     }
     if (position.from > *this->next) {
-        if (!this->is_reading && this->timer) {
+        // Without a timer a call is under way, and what it brings is newer.
+        if (this->timer) {
             this->time.cancel(*std::exchange(this->timer, std::nullopt));
             this->read_log();
         }
@@ -242,8 +235,7 @@
             log_level::warning, "dependency_lost",
             {{"dependency", "store"}, {"topic", this->topic.name}, {"error", reason.to_string()}});
     }
-    const auto pause = std::chrono::duration_cast<duration>(
-        this->next_retry * (0.5 + 0.5 * random_unit(this->random)));
+    const auto pause = part_of(0.5 + 0.5 * random_unit(this->random), this->next_retry);
     this->next_retry = std::min(2 * this->next_retry, this->settings.longest_retry_pause);
     if (!this->next) {
         this->run_after(pause, &keyed_follower::restart);
--- a/lib/support/uuid.cpp
+++ b/lib/support/uuid.cpp
@@ -19,8 +19,7 @@
 {
     boost::uuids::uuid id{};
     const auto since_epoch = time.time_since_epoch();
-    auto milliseconds = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+    auto milliseconds = static_cast<std::uint64_t>(whole_milliseconds(since_epoch));
     for (int index = timestamp_bytes - 1; index >= 0; --index) {
         id.data[index] = static_cast<std::uint8_t>(milliseconds & 0xffU);
         milliseconds >>= 8U;
--- a/tools/eelgrassbend-entry/io_services.cpp
+++ b/tools/eelgrassbend-entry/io_services.cpp
@@ -12,7 +12,6 @@
 #include "eelgrassbend/platform/http_platform.h"
 #include "eelgrassbend/support/random_source.h"
 
-#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -21,14 +20,6 @@
 static constexpr std::chrono::seconds platform_timeout{3};
 static constexpr std::chrono::seconds probe_timeout{1};
 
-/// Listening fails only at the start, where nothing else can be done.
-static void require(const result<network_address>& listening)
-{
-    if (!listening) {
-        throw std::system_error(listening.error().code, listening.error().to_string());
-    }
-}
-
 static std::vector<std::pair<std::string, kernel::factory>>
 independent_services(boost::asio::io_context& context, const entry_settings& settings)
 {
--- a/tools/eelgrassbend-gateway/gateway_daemon.cpp
+++ b/tools/eelgrassbend-gateway/gateway_daemon.cpp
@@ -229,11 +229,8 @@
                            {{"requests", this->parts->node.active()}});
     this->parts->node.begin_stop();
     this->server->announce_close();
-    const auto begun = this->parts->time.now();
-    const auto share = [this](double part) {
-        return std::chrono::duration_cast<duration>(part * this->settings.bounds.stop);
-    };
-    this->parts->time.call_after(share(taking_part), [this, until = begun + share(serving_part)] {
+    const auto until = this->parts->time.now() + part_of(serving_part, this->settings.bounds.stop);
+    this->parts->time.call_after(part_of(taking_part, this->settings.bounds.stop), [this, until] {
         this->stop_taking();
         this->wait_for_requests(until);
     });
--- a/tools/eelgrassbend-gateway/gateway_services.cpp
+++ b/tools/eelgrassbend-gateway/gateway_services.cpp
@@ -17,7 +17,6 @@
 #include "platform/platform_declarations.h"
 #include "platform/store_client.h"
 
-#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -91,9 +90,7 @@
         {"datagrams",
          [&context, settings](const resolved_services&) {
              auto datagrams = std::make_shared<hosted<asio_datagrams>>(context);
-             if (auto listening = datagrams->listen(settings.datagrams); !listening) {
-                 throw std::system_error(listening.error().code, listening.error().to_string());
-             }
+             require(datagrams->listen(settings.datagrams));
              return datagrams;
          }},
     };
--- a/unittests/duties/scaling_test.cpp
+++ b/unittests/duties/scaling_test.cpp
@@ -82,72 +82,73 @@
     }
 }
 
-// A whole deployment starts at once: the duties are taken before the endpoints have registered.
-BOOST_AUTO_TEST_CASE(endpoints_that_register_after_the_holder_has_started_are_not_ordered_away)
-{
+namespace {
+
+/// A scaler of one service in one zone.
+struct scaler_fixture {
+    void start(int most)
+    {
+        routed_service service;
+        service.id = service_id{"draft"};
+        service.scaling = scaling_limits{1, most, seconds{4}, 0.2, {{availability_zone{"a"}, 1.0}}};
+        routing_configuration configuration;
+        configuration.services = {service};
+        this->scaling.set_table(std::make_shared<const route_table>(configuration));
+        this->scaling.start();
+    }
+
+    void add_endpoints(int count, bool is_reclaimable)
+    {
+        for (int index = 0; index < count; ++index) {
+            endpoint_record record;
+            record.id = endpoint_id{"i-" + std::to_string(index)};
+            record.service = service_id{"draft"};
+            record.zone = availability_zone{"a"};
+            record.is_reclaimable = is_reclaimable;
+            this->endpoints.put(record, this->time.now());
+        }
+    }
+
     virtual_scheduler time;
     fakes::fake_store_logs logs;
-    lease_node node{logs, time, "first"};
+    lease_node node{this->logs, this->time, "first"};
     endpoint_table endpoints{seconds{1}};
     const load_model loads;
     recording_duty_calls calls;
-    scaler scaling{time, node.log, node.lease, endpoints, loads, calls};
-    routing_configuration configuration;
-    routed_service service;
-    service.id = service_id{"draft"};
-    service.scaling = scaling_limits{1, 30, seconds{4}, 0.2, {{availability_zone{"a"}, 1.0}}};
-    configuration.services = {service};
-    node.lease.start();
-    time.run_for(seconds{10});
-    scaling.set_table(std::make_shared<const route_table>(configuration));
-    scaling.start();
-    time.run_for(seconds{1});
-    for (int index = 0; index < 15; ++index) {
-        endpoint_record record;
-        record.id = endpoint_id{"i-" + std::to_string(index)};
-        record.service = service.id;
-        record.zone = availability_zone{"a"};
-        endpoints.put(record, time.now());
-    }
-    time.run_for(seconds{10});
-    BOOST_REQUIRE(!calls.orders.empty());
-    for (const auto& order : calls.orders) {
+    scaler scaling{this->time,      this->node.log, this->node.lease,
+                   this->endpoints, this->loads,    this->calls};
+};
+
+} // namespace
+
+// A whole deployment starts at once: the duties are taken before the endpoints have registered.
+BOOST_FIXTURE_TEST_CASE(endpoints_that_register_after_the_holder_has_started_are_not_ordered_away,
+                        scaler_fixture)
+{
+    this->node.lease.start();
+    this->time.run_for(seconds{10});
+    this->start(30);
+    this->time.run_for(seconds{1});
+    this->add_endpoints(15, false);
+    this->time.run_for(seconds{10});
+    BOOST_REQUIRE(!this->calls.orders.empty());
+    for (const auto& order : this->calls.orders) {
         BOOST_TEST((order.is_reclaimable || order.count >= 15));
     }
 }
 
-BOOST_AUTO_TEST_CASE(only_the_holder_orders_and_an_order_is_given_once)
+BOOST_FIXTURE_TEST_CASE(only_the_holder_orders_and_an_order_is_given_once, scaler_fixture)
 {
-    virtual_scheduler time;
-    fakes::fake_store_logs logs;
-    lease_node node{logs, time, "first"};
-    endpoint_table endpoints{seconds{1}};
-    const load_model loads;
-    recording_duty_calls calls;
-    scaler scaling{time, node.log, node.lease, endpoints, loads, calls};
-    routing_configuration configuration;
-    routed_service service;
-    service.id = service_id{"draft"};
-    service.scaling = scaling_limits{1, 6, seconds{4}, 0.2, {{availability_zone{"a"}, 1.0}}};
-    configuration.services = {service};
-    scaling.set_table(std::make_shared<const route_table>(configuration));
-    scaling.start();
-    time.run_for(seconds{3});
-    BOOST_TEST(calls.orders.empty());
-    node.lease.start();
-    time.run_for(seconds{3});
-    const auto given = calls.orders.size();
+    this->start(6);
+    this->time.run_for(seconds{3});
+    BOOST_TEST(this->calls.orders.empty());
+    this->node.lease.start();
+    this->time.run_for(seconds{3});
+    const auto given = this->calls.orders.size();
     BOOST_TEST(given >= 1U);
-    for (int index = 0; index < 3; ++index) {
-        endpoint_record record;
-        record.id = endpoint_id{"i-" + std::to_string(index)};
-        record.service = service.id;
-        record.zone = availability_zone{"a"};
-        record.is_reclaimable = true;
-        endpoints.put(record, time.now());
-    }
-    time.run_for(seconds{30});
-    BOOST_TEST(calls.orders.size() <= given + 2U);
+    this->add_endpoints(3, true);
+    this->time.run_for(seconds{30});
+    BOOST_TEST(this->calls.orders.size() <= given + 2U);
 }
 
 } // namespace eelgrassbend
