--- a/include/eelgrassbend/fleet/fleet_view.h
+++ b/include/eelgrassbend/fleet/fleet_view.h
@@ -5,7 +5,6 @@
 #include "eelgrassbend/support/units.h"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -43,9 +42,6 @@
 /// The other entry nodes: where they are by the store, how they are by their digests.
 class fleet_view {
 public:
-    /// Hears each digest that is newer than the last one of its node.
-    using digest_observer = std::function<void(const node_digest&)>;
-
     explicit fleet_view(node_id self) : self(std::move(self)) {}
 
     void add_record(const node_record& record);
@@ -53,8 +49,6 @@
     /// False if the digest is old or this node's own.
     bool heard(const node_digest& digest, monotonic_time now);
 
-    void on_digest(digest_observer handler) { this->observer = std::move(handler); }
-
     /// Nodes that a digest was heard from lately.
     [[nodiscard]] std::vector<const known_node*> alive(monotonic_time now) const;
     /// Where to send digests: all alive nodes, and the silent ones if `with_silent`.
@@ -71,7 +65,6 @@
     node_id self;
     std::map<node_id, node_record> records;
     std::map<node_id, known_node> known;
-    digest_observer observer;
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/store/topic_relay.h
+++ b/include/eelgrassbend/store/topic_relay.h
@@ -50,9 +50,10 @@
 public:
     /// The next read begins at `next`, whatever was read before.
     void restart(log_offset next);
+    /// Records that are too large for a datagram are left out, with all before them: others have
+    /// to read these themselves.
     void add(log_offset to, std::vector<store_record> changes, bool after_gap);
-    /// Consecutive positions up to the last read. Records that are too large for a datagram are
-    /// left out, with all before them: others have to read these themselves.
+    /// Consecutive positions up to the last read.
     [[nodiscard]] std::vector<topic_position> positions(const std::string& topic,
                                                         duration age) const;
 
--- a/lib/fleet/fleet_view.cpp
+++ b/lib/fleet/fleet_view.cpp
@@ -49,9 +49,6 @@
         }
     }
     this->known[digest.node] = {digest, now};
-    if (this->observer) {
-        this->observer(digest);
-    }
     return true;
 }
 
--- a/lib/placement/placer.cpp
+++ b/lib/placement/placer.cpp
@@ -40,7 +40,6 @@
 static constexpr double queue_share = 0.25;
 
 struct placer::candidate {
-    const known_endpoint* endpoint = nullptr;
     bool is_full = false;
     milliseconds score{};
     milliseconds predicted{};
@@ -132,7 +131,6 @@
 {
     const auto& id = endpoint.record.id;
     candidate weighed;
-    weighed.endpoint = &endpoint;
     auto& result = weighed.result;
     result.endpoint = id;
     result.address = endpoint.record.address;
