Heed what engines say of themselves with their answers

Cause: engines say with each answer that they leave, and may ask one node to stay away for a time with a 503. Neither was read: until the store's record changed, new requests went to an engine that had said that it leaves, for ever while the store was away. A stream that stalled after its first event held its caller until the route's time was over, although another engine could go on with it, and an answer that never ended was gathered up to the 64 MB that the connection allows, for each request.

Ruled out: the mark of a leaving engine in the record alone; an outage of the store brings records back as they were, so the mark belongs to the incarnation and outlives the record. Bytes as progress of a stream: one byte now and then would hold it for ever. Taking a pause for an engine's longest gap: engines preempt runs, and a stream that is slow but sound must not be cut, so half of the callers' own patience counts.

Change: endpoint_table keeps notices by incarnation; a node that was asked to stay away treats the engine as full until then, and the return time of a refusal follows. A stream that may go on elsewhere does after a time without a whole event. Gathered answers share a byte budget.

--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -37,10 +37,21 @@
     endpoint_record record;
     monotonic_time heard;
     std::optional<monotonic_time> missing_since; ///< its record is gone, maybe for a moment only
+    std::optional<monotonic_time> no_work_until; ///< it asked this node to stay away
 };
 
-/// The endpoints of all services, by their own records. An endpoint whose record vanished while
-/// the store was away counts for a little longer, since a live one writes it again.
+/// An incarnation of an endpoint.
+struct endpoint_incarnation {
+    endpoint_id endpoint;
+    std::int64_t started = 0;
+
+    friend bool operator==(const endpoint_incarnation&, const endpoint_incarnation&) = default;
+};
+
+/// The endpoints of all services, by their own records and by what they say with their answers. An
+/// endpoint whose record vanished while the store was away counts for a little longer, since a live
+/// one writes it again. An incarnation that has said that it leaves stays leaving, whatever its
+/// record says.
 class endpoint_table {
 public:
     /// The new record of an endpoint that changed state or incarnation, or that is gone.
@@ -49,8 +60,16 @@
     /// `missing_time`: how long an endpoint counts after its record was lost in a store outage.
     explicit endpoint_table(duration missing_time) : missing_time(missing_time) {}
 
-    void put(const endpoint_record& record, monotonic_time now);
+    void put(const endpoint_record& written, monotonic_time now);
     void remove(const endpoint_id& id, monotonic_time now, bool after_gap);
+    /// The endpoint said in an answer to this node that it leaves.
+    void says_leaving(const endpoint_id& id, monotonic_time now);
+    /// Another node heard that this incarnation leaves.
+    void heard_leaving(const endpoint_incarnation& leaving, monotonic_time now);
+    /// The endpoint wants no requests of this node until then.
+    void says_no_work(const endpoint_id& id, monotonic_time until, monotonic_time now);
+    /// Incarnations that told this node not long ago that they leave.
+    [[nodiscard]] std::vector<endpoint_incarnation> told_leaving(monotonic_time now) const;
     /// Forgets those whose records have stayed away.
     void expire(monotonic_time now);
 
@@ -64,10 +83,22 @@
     [[nodiscard]] const std::map<endpoint_id, known_endpoint>& all() const { return this->known; }
 
 private:
+    /// What an incarnation has said in its answers; outlives its record, which may come back.
+    struct notice {
+        std::int64_t started = 0;
+        bool is_leaving = false;
+        bool is_own = false; ///< said to this node
+        std::optional<monotonic_time> no_work_until;
+        monotonic_time heard;
+    };
+
     void erase(const endpoint_id& id);
+    notice& notice_of(const known_endpoint& endpoint, monotonic_time now);
+    void mark_leaving(const endpoint_id& id, bool is_own, monotonic_time now);
 
     duration missing_time;
     std::map<endpoint_id, known_endpoint> known;
+    std::map<endpoint_id, notice> notices;
     observer changed;
 };
 
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -9,6 +9,7 @@
 #include "eelgrassbend/serving/forward_services.h"
 #include "eelgrassbend/serving/run_mover.h"
 #include "eelgrassbend/serving/sse.h"
+#include "eelgrassbend/support/byte_budget.h"
 #include "eelgrassbend/support/scheduler.h"
 
 #include <functional>
@@ -84,7 +85,11 @@
     void arm_first_byte_timer(const placement& where);
     void first_byte_overdue();
     void log_placement(const placement& where) const;
+    void take_notices();
     void answer_began();
+    void gather(std::string_view bytes);
+    void expect_event();
+    void stream_stalled();
     void pass_events(std::string_view bytes);
     void start_stream();
     void attempt_refused();
@@ -120,11 +125,13 @@
     placement where;
     std::optional<forward_answer> answer; ///< of the current attempt
     std::string answer_body;
+    byte_reservation gathered; ///< for `answer_body`
     sse_splitter events;
     std::string last_event; ///< that the caller got
     std::optional<timer_id> final_timer;
     std::optional<timer_id> place_timer;
     std::optional<timer_id> first_byte_timer;
+    std::optional<timer_id> stall_timer;
     std::optional<timer_id> move_timer;
     std::optional<run_move> move;
     std::string memory_source;                 ///< for the next attempt of a moved run
--- a/include/eelgrassbend/serving/forward_protocol.h
+++ b/include/eelgrassbend/serving/forward_protocol.h
@@ -40,9 +40,12 @@
 /// What the head of an endpoint's answer says.
 struct forward_answer {
     int status = 0;
-    request_id id;           ///< empty if the endpoint did not echo it
-    bool is_not_run = false; ///< the endpoint states that it did not run the request
-    bool is_signed = false;  ///< carries the endpoint's signature of the answer
+    request_id id;                       ///< empty if the endpoint did not echo it
+    bool is_not_run = false;             ///< the endpoint states that it did not run the request
+    bool is_signed = false;              ///< carries the endpoint's signature of the answer
+    bool is_leaving = false;             ///< the endpoint will be gone soon
+    std::optional<duration> no_work_for; ///< the endpoint wants no requests of this node meanwhile
+    std::string unreadable;              ///< a header that could not be read, with its value
     std::optional<reported_load> load;
     header_list headers; ///< for the caller
 
--- a/include/eelgrassbend/serving/forward_services.h
+++ b/include/eelgrassbend/serving/forward_services.h
@@ -19,6 +19,7 @@
 class retry_budget;
 class run_mover;
 class scheduler;
+class byte_budget;
 class usage_board;
 
 struct forward_settings {
@@ -42,6 +43,12 @@
     double first_byte_factor = 5.0;
     duration shortest_first_byte_timeout = std::chrono::milliseconds{150};
     duration longest_first_byte_timeout = std::chrono::milliseconds{1500};
+    /// Time without a whole event after which a stream that may go on elsewhere does: the largest
+    /// of these, half of what callers wait before they leave (2 s, 8 longest pauses between
+    /// events, 4 objectives).
+    duration least_stall_timeout = std::chrono::milliseconds{1000};
+    double stall_gaps = 4.0;
+    double stall_objectives = 2.0;
     /// Before the announced end of an engine: for a move with its two calls and a second try. The
     /// announcement is some hundred milliseconds old.
     duration move_margin = std::chrono::milliseconds{1000};
@@ -64,6 +71,7 @@
     retry_budget& retries;
     usage_board& usage;
     run_mover& mover;
+    byte_budget& answer_memory; ///< for answers that are passed on once they are whole
 };
 
 } // namespace eelgrassbend
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassbend/placement/placer.h"
 #include "eelgrassbend/placement/prompt_cache.h"
+#include "eelgrassbend/support/byte_budget.h"
 #include "eelgrassbend/support/callback_scope.h"
 
 #include "declaration_observers.h"
@@ -41,6 +42,10 @@
 static constexpr milliseconds report_age{350};
 /// How often an engine that drains is asked when it will be taken.
 static constexpr int leaving_questions = 2;
+/// Memory for an answer that is passed on once it is whole, and for all of them together; a part of
+/// the smallest hosts' 160 MB. Streams are passed on event by event.
+static constexpr std::size_t longest_answer = 16 * 1024 * 1024;
+static constexpr std::size_t all_answers = 48 * 1024 * 1024;
 /// KV cache of an engine until a configuration tells it.
 static constexpr std::int64_t assumed_memory = 500'000;
 
@@ -119,6 +124,7 @@
     retry_budget retries;
     usage_board usage;
     fleet_view fleet;
+    byte_budget answer_memory;
     forward_services services;
     forward_front front;
     node_presence presence;
@@ -147,9 +153,10 @@
       retries(node_settings.bounds.retries),
       usage(node_settings.bounds.usage_window),
       fleet(node_settings.node),
-      services{forward,        needs.time,   needs.random, needs.log, needs.counters,
-               needs.protocol, needs.client, endpoints,    loads,     cache,
-               places,         quotas,       retries,      usage,     needs.mover},
+      answer_memory(longest_answer, all_answers),
+      services{forward,      needs.time, needs.random, needs.log,    needs.counters, needs.protocol,
+               needs.client, endpoints,  loads,        cache,        places,         quotas,
+               retries,      usage,      needs.mover,  answer_memory},
       front(services),
       presence(
           needs.store, needs.datagrams, needs.time, needs.log,
--- a/lib/placement/placer.cpp
+++ b/lib/placement/placer.cpp
@@ -147,6 +147,10 @@
     }
     weighed.is_full =
         weighed.is_full || result.load.requests >= static_cast<int>(slots * (1.0 + queue_share));
+    if (endpoint.no_work_until && state.now < *endpoint.no_work_until) {
+        weighed.is_full = true;
+        weighed.wait = std::max<milliseconds>(weighed.wait, *endpoint.no_work_until - state.now);
+    }
     result.predicted = std::chrono::duration_cast<duration>(weighed.predicted);
     weighed.score = result.pace * weighed.predicted;
     weighed.score += this->loads.failure_share(id, state.now) * failure_cost;
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -37,7 +37,10 @@
 
 forward_flow::forward_flow(const forward_services& services, forwarded_request request,
                            ended_handler on_ended)
-    : services(services), request(std::move(request)), on_ended(std::move(on_ended))
+    : services(services),
+      request(std::move(request)),
+      on_ended(std::move(on_ended)),
+      gathered(services.answer_memory)
 {
     this->last_event = this->request.facts.last_event;
 }
@@ -47,6 +50,7 @@
     this->cancel_timer(this->final_timer);
     this->cancel_timer(this->place_timer);
     this->cancel_timer(this->first_byte_timer);
+    this->cancel_timer(this->stall_timer);
     this->cancel_timer(this->move_timer);
 }
 
@@ -160,6 +164,7 @@
     this->waiting_since.reset();
     this->answer.reset();
     this->answer_body.clear();
+    this->gathered.clear();
     this->events.reset();
     this->is_new_run = this->memory_source.empty() && this->last_event.empty();
     const auto now = this->services.time.now();
@@ -255,10 +260,7 @@
     const auto self = this->shared_from_this();
     this->cancel_timer(this->first_byte_timer);
     this->answer = this->services.protocol.read_answer(status, headers);
-    if (this->answer->load) {
-        this->services.loads.reported(this->where.endpoint, *this->answer->load,
-                                      this->services.time.now());
-    }
+    this->take_notices();
     if (this->answer->is_not_run) {
         this->attempt_refused();
         return;
@@ -275,9 +277,38 @@
         return;
     }
     // A run that goes on keeps the head of its beginning; one that starts again has a new one.
-    if (this->is_stream() && this->answer->is_success() &&
-        (!this->stream_head || this->is_new_run)) {
-        this->stream_head = this->answer;
+    if (this->is_stream() && this->answer->is_success()) {
+        if (!this->stream_head || this->is_new_run) {
+            this->stream_head = this->answer;
+        }
+        this->expect_event();
+    }
+}
+
+// What the endpoint says of itself holds whatever becomes of the request.
+void forward_flow::take_notices()
+{
+    const auto now = this->services.time.now();
+    const auto& endpoint = this->where.endpoint;
+    if (this->answer->load) {
+        this->services.loads.reported(endpoint, *this->answer->load, now);
+    }
+    if (this->answer->is_leaving) {
+        this->services.endpoints.says_leaving(endpoint, now);
+    }
+    if (this->answer->no_work_for) {
+        const auto pause = *this->answer->no_work_for;
+        this->services.endpoints.says_no_work(endpoint, now + pause, now);
+        this->services.log.write(log_level::info, "endpoint_wants_no_work",
+                                 {{"request", this->request.facts.id.value()},
+                                  {"endpoint", endpoint.value()},
+                                  {"for_ms", whole_milliseconds(pause)}});
+    }
+    if (!this->answer->unreadable.empty()) {
+        this->services.log.write(log_level::warning, "answer_header_unreadable",
+                                 {{"request", this->request.facts.id.value()},
+                                  {"endpoint", endpoint.value()},
+                                  {"header", this->answer->unreadable}});
     }
 }
 
@@ -298,12 +329,47 @@
 {
     const auto self = this->shared_from_this();
     if (!this->is_stream() || !this->answer->is_success()) {
-        this->answer_body += bytes;
+        this->gather(bytes);
         return;
     }
     this->pass_events(bytes);
 }
 
+void forward_flow::gather(std::string_view bytes)
+{
+    if (!this->gathered.grow(bytes.size())) {
+        this->attempt_broke(make_error(errc::invalid_argument, "read answer",
+                                       this->where.endpoint.value(),
+                                       "answer does not fit the memory for answers"));
+        return;
+    }
+    this->answer_body += bytes;
+}
+
+// A stream makes progress by whole events: bytes that complete none bring its caller nothing. One
+// that is merely slow has an event well within the time after which callers leave.
+void forward_flow::expect_event()
+{
+    this->cancel_timer(this->stall_timer);
+    if (!this->may_go_elsewhere()) {
+        return;
+    }
+    const auto& settings = this->services.settings;
+    const auto gap = part_of(settings.stall_gaps, this->request.chosen->longest_gap);
+    const auto objective = part_of(settings.stall_objectives, this->request.chosen->objective);
+    const auto timeout = std::max({settings.least_stall_timeout, gap, objective});
+    this->run_after(timeout, &forward_flow::stall_timer, &forward_flow::stream_stalled);
+}
+
+void forward_flow::stream_stalled()
+{
+    if (!this->handle || !this->answer || this->move) {
+        return;
+    }
+    this->attempt_broke(make_error(errc::timed_out, "read event stream",
+                                   this->where.endpoint.value(), "no whole event in time"));
+}
+
 // Only whole events are passed on: an endpoint can break off within one, and another endpoint
 // goes on after the last whole one.
 void forward_flow::pass_events(std::string_view bytes)
@@ -324,6 +390,7 @@
         return;
     }
     this->start_stream();
+    this->expect_event();
     this->request.answer->send(std::move(passed));
 }
 
@@ -449,6 +516,7 @@
 void forward_flow::end_attempt(attempt_result how)
 {
     this->handle.reset();
+    this->cancel_timer(this->stall_timer);
     if (this->attempt != 0) {
         this->services.loads.ended(std::exchange(this->attempt, 0), how, this->services.time.now());
     }
@@ -511,6 +579,7 @@
     this->cancel_timer(this->final_timer);
     this->cancel_timer(this->place_timer);
     this->cancel_timer(this->first_byte_timer);
+    this->cancel_timer(this->stall_timer);
     this->cancel_timer(this->move_timer);
     this->move.reset();
     const auto spent = this->services.time.now() - this->request.received;
--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -162,6 +162,33 @@
     BOOST_TEST(!forward_headers{}.read_answer(503, {}).is_not_run);
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_says_that_it_leaves_with_any_answer)
+{
+    const forward_headers protocol;
+    BOOST_TEST(protocol.read_answer(200, {{"server-leaving", "1"}}).is_leaving);
+    BOOST_TEST(protocol.read_answer(503, {{"Server-Leaving", "1"}}).is_leaving);
+    BOOST_TEST(!protocol.read_answer(200, {{"Server-Leaving", "0"}}).is_leaving);
+    BOOST_TEST(!protocol.read_answer(200, {}).is_leaving);
+    // Another endpoint at its address says nothing of the one that was meant.
+    BOOST_TEST(!protocol.read_answer(421, {{"Server-Leaving", "1"}}).is_leaving);
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_says_how_long_it_wants_no_work)
+{
+    const auto pause = [](int status, const std::string& text) {
+        return forward_headers{}.read_answer(status, {{"Retry-After", text}}).no_work_for;
+    };
+    BOOST_TEST((pause(503, "2") == milliseconds{2000}));
+    BOOST_TEST((pause(503, "0.25") == milliseconds{250}));
+    BOOST_TEST((pause(503, "1e300") == std::chrono::hours{24}));
+    BOOST_TEST(!pause(200, "2").has_value());
+    for (const char* text : {"-1", "nan", "inf", "soon", "", "2 s"}) {
+        BOOST_TEST(!pause(503, text).has_value());
+        const auto answer = forward_headers{}.read_answer(503, {{"Retry-After", text}});
+        BOOST_TEST(answer.unreadable == std::string{"Retry-After: "} + text);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_names_the_time_to_come_back)
 {
     forward_refusal refused;
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -5,6 +5,7 @@
 #include "eelgrassbend/limits/fleet_quota.h"
 #include "eelgrassbend/limits/retry_budget.h"
 #include "eelgrassbend/serving/forward_front.h"
+#include "eelgrassbend/support/byte_budget.h"
 
 #include "serving_fakes.h"
 
@@ -54,6 +55,10 @@
         for (const auto& [name, value] : headers) {
             answer.is_not_run = answer.is_not_run || name == "Not-Run";
             answer.is_signed = answer.is_signed || name == "Signature";
+            answer.is_leaving = answer.is_leaving || name == "Leaving";
+            if (name == "No-Work-Ms") {
+                answer.no_work_for = std::chrono::milliseconds{std::stol(value)};
+            }
             if (name == "Id") {
                 answer.id = request_id{value};
             }
@@ -177,11 +182,13 @@
     }
 
     /// The head of a good answer to the newest attempt.
-    void head(int status = 200)
+    void head(int status = 200, const header_list& others = {})
     {
         auto& attempt = this->client.last();
-        attempt.observer->head(status, {{"Id", attempt.request.attempt.value()},
-                                        {"Signature", "p-" + this->endpoint()}});
+        header_list headers{{"Id", attempt.request.attempt.value()},
+                            {"Signature", "p-" + this->endpoint()}};
+        headers.insert(headers.end(), others.begin(), others.end());
+        attempt.observer->head(status, headers);
     }
 
     void body(const std::string& bytes) { this->client.last().observer->body(bytes); }
@@ -222,10 +229,11 @@
     retry_budget retries{{0.2, 50.0}};
     usage_board usage{std::chrono::seconds{5}};
     fake_run_mover mover;
+    byte_budget answer_memory{4'000, 10'000};
     forward_settings settings;
-    forward_services services{settings, time,   random,    log,   counters,
-                              protocol, client, endpoints, loads, cache,
-                              places,   quotas, retries,   usage, mover};
+    forward_services services{settings, time,      random, log,          counters, protocol,
+                              client,   endpoints, loads,  cache,        places,   quotas,
+                              retries,  usage,     mover,  answer_memory};
     forward_front door{services};
     routing_configuration configuration;
     int sent = 0;
