--- a/include/eelgrassbend/duties/usage_board.h
+++ b/include/eelgrassbend/duties/usage_board.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <utility>
 
 namespace eelgrassbend {
@@ -26,6 +27,12 @@
     void heard(const node_id& node, std::uint64_t incarnation,
                const std::map<usage_window, usage_counts>& windows);
 
+    /// Counts of a whole group of nodes, by whichever of them speaks for it.
+    void heard_group(const std::string& group, const std::map<usage_window, usage_counts>& windows);
+
+    /// Counts of this node and of those that tell it theirs, without other groups.
+    [[nodiscard]] std::map<usage_window, usage_counts> group_counts() const;
+
     [[nodiscard]] usage_window window_at(wall_time when) const;
     [[nodiscard]] wall_time end_of(usage_window window) const;
 
@@ -38,9 +45,20 @@
 private:
     using source = std::pair<node_id, std::uint64_t>;
 
+    template <typename Source>
+    using told_counts = std::map<usage_window, std::map<Source, usage_counts>>;
+
+    template <typename Source>
+    static void put(told_counts<Source>& told, const Source& from,
+                    const std::map<usage_window, usage_counts>& windows);
+    template <typename Source>
+    static void add_up(const told_counts<Source>& told, usage_window window, usage_counts& sum);
+    [[nodiscard]] usage_counts group_total(usage_window window) const;
+
     duration window_length;
     std::map<usage_window, usage_counts> counts;
-    std::map<usage_window, std::map<source, usage_counts>> others;
+    told_counts<source> others;
+    told_counts<std::string> groups;
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/duties/usage_reporter.h
+++ b/include/eelgrassbend/duties/usage_reporter.h
@@ -19,8 +19,8 @@
 
 struct usage_reporter_settings {
     store_topic topic{"usage", false};
-    /// After the end of a window, for the last digests of the others to arrive.
-    duration settle = std::chrono::milliseconds{1500};
+    /// After the end of a window, for the last digests and summaries of the others to arrive.
+    duration settle = std::chrono::milliseconds{2500};
     /// A report is due so long after the end of its window.
     duration due = std::chrono::seconds{10};
 };
--- /dev/null
+++ b/include/eelgrassbend/fleet/fleet_groups.h
@@ -0,0 +1,69 @@
+#ifndef EELGRASSBEND_FLEET_FLEET_GROUPS_H
+#define EELGRASSBEND_FLEET_FLEET_GROUPS_H
+
+#include "eelgrassbend/platform/host_list.h"
+#include "eelgrassbend/support/ids.h"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// Name of a part of the fleet; empty for a fleet that is not divided.
+using group_id = strong_type<struct group_id_tag, std::string>;
+
+/// Where another entry node hears digests, by its record in the store.
+struct node_record {
+    node_id node;
+    network_address datagrams;
+    availability_zone zone;
+};
+
+/// Divides the fleet into groups whose nodes tell each other everything, by the nodes' records
+/// alone: nodes that know the same records agree. Answers the load of digests, which grows with the
+/// square of a group's size. A small fleet is one group; in a larger one each availability zone is
+/// one, or several of about the same size.
+class fleet_groups {
+public:
+    fleet_groups(node_id self, availability_zone zone);
+
+    void add(const node_record& record);
+    void remove(const node_id& node);
+
+    [[nodiscard]] const group_id& own() const;
+    [[nodiscard]] group_id group_of(const node_id& node, const availability_zone& zone) const;
+
+    [[nodiscard]] bool is_own(const node_id& node, const availability_zone& zone) const
+    {
+        return this->group_of(node, zone) == this->own();
+    }
+
+    /// Records of the nodes of all other groups, by name.
+    [[nodiscard]] const std::map<group_id, std::vector<node_record>>& others() const;
+    /// Place of the own group among all of them, by name.
+    [[nodiscard]] std::size_t own_place() const;
+
+    [[nodiscard]] std::size_t group_count() const { return this->others().size() + 1; }
+
+    /// Number of nodes of the other groups.
+    [[nodiscard]] std::size_t nodes_elsewhere() const;
+
+    [[nodiscard]] const std::map<node_id, node_record>& records() const { return this->known; }
+
+private:
+    void arrange() const;
+
+    node_id self;
+    availability_zone zone;
+    std::map<node_id, node_record> known;
+    // Worked out from `known` when it is asked for.
+    mutable bool is_arranged = false;
+    mutable std::map<availability_zone, std::size_t> zone_sizes;
+    mutable group_id own_group;
+    mutable std::map<group_id, std::vector<node_record>> other_groups;
+};
+
+} // namespace eelgrassbend
+
+#endif
--- a/include/eelgrassbend/fleet/fleet_view.h
+++ b/include/eelgrassbend/fleet/fleet_view.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSBEND_FLEET_FLEET_VIEW_H
 #define EELGRASSBEND_FLEET_FLEET_VIEW_H
 
+#include "eelgrassbend/fleet/fleet_groups.h"
 #include "eelgrassbend/fleet/node_digest.h"
 #include "eelgrassbend/support/units.h"
 
@@ -11,12 +12,6 @@
 
 namespace eelgrassbend {
 
-/// Where another entry node hears digests, by its record in the store.
-struct node_record {
-    node_id node;
-    network_address datagrams;
-};
-
 /// Another entry node as it was heard last.
 struct known_node {
     node_digest digest;
@@ -28,6 +23,11 @@
 /// Time for which a silent node may still be serving callers that this node cannot see.
 constexpr duration node_absence = std::chrono::seconds{15};
 
+struct node_counts {
+    std::uint32_t heard = 0;
+    std::uint32_t serving = 0;
+};
+
 /// When this node sent its latest digests.
 class sent_digests {
 public:
@@ -42,28 +42,48 @@
 /// The other entry nodes: where they are by the store, how they are by their digests.
 class fleet_view {
 public:
-    explicit fleet_view(node_id self) : self(std::move(self)) {}
+    explicit fleet_view(node_id self, availability_zone zone = {});
+
+    void add_record(const node_record& record) { this->division.add(record); }
+
+    void remove_record(const node_id& node) { this->division.remove(node); }
+
+    [[nodiscard]] const fleet_groups& groups() const { return this->division; }
+
+    [[nodiscard]] bool is_in_group(const node_digest& other) const
+    {
+        return this->division.is_own(other.node, other.zone);
+    }
 
-    void add_record(const node_record& record);
-    void remove_record(const node_id& node);
     /// False if the digest is old or this node's own.
     bool heard(const node_digest& digest, monotonic_time now);
 
-    /// Nodes that a digest was heard from lately.
+    /// Whether the digest came a little out of order: what it says of its sender is old, but what
+    /// it passes on may be new.
+    [[nodiscard]] bool is_late(const node_digest& digest) const;
+
+    /// Nodes of the own group that a digest was heard from lately.
     [[nodiscard]] std::vector<const known_node*> alive(monotonic_time now) const;
-    /// Where to send digests: all alive nodes, and the silent ones if `with_silent`.
+    /// The same for the other groups; only a few of each tell this node anything.
+    [[nodiscard]] std::vector<const known_node*> alive_elsewhere(monotonic_time now) const;
+    /// Whether this node speaks for its group: the first by name that is alive and stays.
+    [[nodiscard]] bool is_representative(monotonic_time now) const;
+    /// Where to send digests: all alive nodes of the group, and its silent ones if `with_silent`.
     [[nodiscard]] std::vector<network_address> receivers(monotonic_time now,
                                                          bool with_silent) const;
-    /// Share of the nodes that may be serving which this node hears, itself included; above 0.
-    [[nodiscard]] double heard_share(monotonic_time now) const;
-    /// Addresses of the nodes that take new callers, without this one.
+    /// Nodes of the group that are heard, and that may be serving, this one included.
+    [[nodiscard]] node_counts counts(monotonic_time now) const;
+    /// Addresses of the nodes of the group that take new callers, without this one.
     [[nodiscard]] std::vector<network_address> ready_callers(monotonic_time now) const;
 
     [[nodiscard]] const std::map<node_id, known_node>& all() const { return this->known; }
 
 private:
+    [[nodiscard]] std::vector<const known_node*> alive_where(monotonic_time now,
+                                                             bool in_group) const;
+
     node_id self;
-    std::map<node_id, node_record> records;
+    fleet_groups division;
     std::map<node_id, known_node> known;
 };
 
--- a/include/eelgrassbend/fleet/node_digest.h
+++ b/include/eelgrassbend/fleet/node_digest.h
@@ -2,6 +2,8 @@
 #define EELGRASSBEND_FLEET_NODE_DIGEST_H
 
 #include "eelgrassbend/duties/usage_board.h"
+#include "eelgrassbend/fleet/group_summary.h"
+#include "eelgrassbend/placement/endpoint_table.h"
 #include "eelgrassbend/placement/load_model.h"
 #include "eelgrassbend/platform/host_list.h"
 #include "eelgrassbend/store/topic_relay.h"
@@ -44,6 +46,9 @@
     bool reads_store = false;                   ///< its last calls to the store succeeded
     std::optional<digest_number> echo;          ///< newest digest heard from the receiver
     std::vector<topic_position> positions;      ///< read in the store for the receiver
+    group_id positions_from;                    ///< group of the node that read them
+    std::vector<endpoint_incarnation> leaving;  ///< that told this node that they leave
+    std::optional<group_summary> summary;       ///< of other groups, or for them
 };
 
 /// Largest digest, in bytes; fits a datagram.
--- /dev/null
+++ b/include/eelgrassbend/gateway/group_exchange.h
@@ -0,0 +1,74 @@
+#ifndef EELGRASSBEND_GATEWAY_GROUP_EXCHANGE_H
+#define EELGRASSBEND_GATEWAY_GROUP_EXCHANGE_H
+
+#include "eelgrassbend/fleet/fleet_view.h"
+#include "eelgrassbend/limits/fleet_quota.h"
+#include "eelgrassbend/limits/retry_budget.h"
+#include "eelgrassbend/support/random_source.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace eelgrassbend {
+
+/// What the groups of a large fleet tell each other. One node of each, its representative, sends
+/// the sums of its group to the other representatives and passes theirs on to its own group, so
+/// that a node's work grows with the size of its group and not of the fleet. In an undivided fleet
+/// it does nothing.
+class group_exchange {
+public:
+    group_exchange(fleet_view& fleet, load_model& loads, fleet_quota& quotas, retry_budget& retries,
+                   usage_board& usage, random_source& random);
+
+    void heard(const node_digest& told, monotonic_time now);
+    /// Works in what is known of the other groups, and forgets what is too old.
+    void update(monotonic_time now);
+
+    /// Whether this node is to send summaries.
+    [[nodiscard]] bool speaks(monotonic_time now) const;
+    /// Of the own group. `ready`: this node's address if it takes new callers.
+    [[nodiscard]] group_summary own_summary(monotonic_time now,
+                                            const std::optional<network_address>& duty_holder,
+                                            const std::optional<network_address>& ready) const;
+    /// Of all other groups, for the own one.
+    [[nodiscard]] group_summary summary_elsewhere(monotonic_time now) const;
+    /// The representatives of the other groups, as far as they are known, else the nodes that are
+    /// probably theirs.
+    std::vector<network_address> representatives(monotonic_time now);
+
+    /// Where the holder of the duties hears digests, if it is in another group.
+    [[nodiscard]] std::optional<network_address> holder_elsewhere(monotonic_time now) const;
+    /// Some nodes of other groups that take new callers.
+    [[nodiscard]] std::vector<network_address> ready_elsewhere(monotonic_time now) const;
+
+private:
+    /// One or more groups as they were heard last.
+    struct other_groups {
+        std::uint32_t heard = 0;
+        std::uint32_t serving = 0;
+        std::optional<network_address> duty_holder;
+        compact_work work;
+        compact_units admitted;
+        std::vector<network_address> ready;
+        monotonic_time at;
+    };
+
+    static void take(other_groups& known, const group_summary& told, monotonic_time now);
+    [[nodiscard]] other_groups merge(monotonic_time now) const;
+    void set_counts(monotonic_time now);
+
+    fleet_view& fleet;
+    load_model& loads;
+    fleet_quota& quotas;
+    retry_budget& retries;
+    usage_board& usage;
+    random_source& random;
+    std::map<group_id, other_groups> groups; ///< by their representatives
+    std::optional<other_groups> elsewhere;   ///< all other groups together
+    std::size_t tries = 0;                   ///< rounds of looking for representatives
+};
+
+} // namespace eelgrassbend
+
+#endif
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -3,6 +3,8 @@
 
 #include "eelgrassbend/duties/duty_lease.h"
 #include "eelgrassbend/fleet/fleet_view.h"
+#include "eelgrassbend/gateway/group_exchange.h"
+#include "eelgrassbend/gateway/position_relay.h"
 #include "eelgrassbend/limits/fleet_quota.h"
 #include "eelgrassbend/limits/retry_budget.h"
 #include "eelgrassbend/logging/event_log.h"
@@ -25,26 +27,40 @@
     network_address datagrams;
 };
 
+/// What a node reaches the others with; all outlive it.
+struct gateway_links {
+    record_store& store;
+    datagram_transport& datagrams;
+    scheduler& time;
+    random_source& random;
+    event_log& log;
+};
+
+/// What digests are made of and worked into; all outlive the node's presence.
+struct fleet_models {
+    fleet_view& fleet;
+    load_model& loads;
+    endpoint_table& endpoints;
+    fleet_quota& quotas;
+    retry_budget& retries;
+    usage_board& usage;
+};
+
 /// Makes this node known to the others: by a record in the store, written once, and by digests
 /// sent to them directly. Takes their digests.
-class node_presence : public keyed_observer, public duty_candidates, public topic_relay {
+class node_presence : public keyed_observer, public duty_candidates, public digest_source {
 public:
     using readiness = std::function<bool()>;
-    /// What another node has read, and a time before which all that was written is in it.
-    using position_handler =
-        std::function<void(const topic_position&, std::optional<monotonic_time> as_of)>;
 
     /// What the node's other parts say of it and hear through it.
     struct callbacks {
         readiness is_ready;    ///< takes new callers
         readiness reads_store; ///< its last calls to the store succeeded
-        position_handler heard;
+        position_relay::position_handler heard;
         std::function<void()> registered; ///< the others can find this node's record
     };
 
-    node_presence(record_store& store, datagram_transport& datagrams, scheduler& time,
-                  event_log& log, node_identity identity, fleet_view& fleet, load_model& loads,
-                  fleet_quota& quotas, retry_budget& retries, usage_board& usage);
+    node_presence(const gateway_links& links, const fleet_models& models, node_identity identity);
     ~node_presence() override;
     node_presence(const node_presence&) = delete;
     node_presence& operator=(const node_presence&) = delete;
@@ -61,8 +77,13 @@
     [[nodiscard]] bool other_holder_heard() const override;
     [[nodiscard]] std::size_t rank() const override;
 
-    [[nodiscard]] bool is_reader() const override;
-    void pass_on(const std::vector<topic_position>& positions) override;
+    node_digest make_digest() override;
+
+    /// Passes on what one node reads in the store.
+    [[nodiscard]] topic_relay& relay() { return this->positions; }
+
+    /// Some nodes of other groups that take new callers.
+    [[nodiscard]] std::vector<network_address> ready_elsewhere() const;
 
     /// The topic of the nodes' records.
     static store_topic topic() { return {"entry-nodes", true}; }
@@ -70,25 +91,21 @@
 private:
     void register_node();
     void tick();
-    node_digest make_digest();
     void send_digest();
     void send_usage();
+    void send_summary(const group_summary& whole, const std::vector<network_address>& receivers);
+    void speak_for_group();
     void send(const node_digest& digest, const std::vector<network_address>& receivers);
     void receive(const std::string& bytes);
-    void take_positions(const node_digest& told);
-    /// Whether another node reads the store for the same group.
-    [[nodiscard]] bool is_in_group(const known_node& other) const;
+    /// Where the holder of the duties hears digests, if it is in this group.
+    [[nodiscard]] std::optional<network_address> holder_in_group() const;
+    [[nodiscard]] bool takes_callers() const;
 
-    record_store& store;
-    datagram_transport& datagrams;
-    scheduler& time;
-    event_log& log;
+    gateway_links links;
+    fleet_models models;
     node_identity identity;
-    fleet_view& fleet;
-    load_model& loads;
-    fleet_quota& quotas;
-    retry_budget& retries;
-    usage_board& usage;
+    group_exchange groups;
+    position_relay positions;
     const duty_lease* lease = nullptr;
     callbacks others;
     sent_digests sent;
@@ -97,6 +114,7 @@
     std::optional<timer_id> register_timer;
     monotonic_time next_digest;
     monotonic_time next_usage;
+    monotonic_time next_summary;
     std::uint64_t usage_turn = 0;
     std::uint64_t digest_count = 0;
     std::uint64_t turns = 1; ///< digests in which each node is addressed once
--- a/include/eelgrassbend/limits/fleet_quota.h
+++ b/include/eelgrassbend/limits/fleet_quota.h
@@ -11,18 +11,29 @@
 
 namespace eelgrassbend {
 
+/// Units by organisation, for a compact form between groups of nodes: organisations go by a hash of
+/// their name.
+using organisation_key = std::uint32_t;
+using compact_units = std::map<organisation_key, double>;
+
 /// Holds the quotas of organisations over all entry nodes: the rate times a window plus the burst
 /// in any window. Each node charges what it admits and
 /// what the others' digests say that they admitted. A node that hears only a part of the others
 /// admits by that part of the rate, so that two sides of a partition stay within one quota.
 class fleet_quota {
 public:
+    /// Organisations that a digest names beside those that admitted something lately.
+    static constexpr std::size_t repeated_in_digest = 2;
+
     explicit fleet_quota(duration window) : window(window) {}
 
     void configure(const std::vector<organisation>& organisations, monotonic_time now);
     /// Share of the serving nodes that this one hears, above 0 and at most 1.
     void set_heard_share(double share, monotonic_time now);
 
+    /// Number of groups that hear of each other later than the nodes within one.
+    void set_group_count(std::size_t count, monotonic_time now);
+
     /// Takes `units` and answers nothing, or answers when it is worth asking again.
     std::optional<duration> admit(const organisation_id& id, double units, monotonic_time now);
     /// The request was refused after all and has not run.
@@ -37,28 +48,56 @@
     /// A digest with the totals was sent.
     void digest_sent();
 
-    /// This node's running totals.
-    [[nodiscard]] const std::map<organisation_id, double>& admitted() const { return this->totals; }
+    /// This node's running totals, for a digest: those that changed in the last few ones, and some
+    /// of the others in turn.
+    [[nodiscard]] std::map<organisation_id, double> for_digest() const;
+    /// Running totals of this node and of those that tell it theirs, without other groups.
+    [[nodiscard]] compact_units group_admitted() const;
+    /// Running totals of all other groups, as far as they are known.
+    void heard_elsewhere(const compact_units& admitted, monotonic_time now);
 
 private:
     struct account {
+        void expect_elsewhere(monotonic_time now);
+        /// Other groups have admitted `step` units since they were heard last.
+        void heard_elsewhere(double step, monotonic_time now);
+
         double rate = 0.0;
-        double burst = 0.0;
+        double whole_burst = 0.0; ///< of all groups
+        double burst = 0.0;       ///< of the own group
         token_bucket bucket;
+        double elsewhere_pace = 0.0; ///< units a second that other groups admit
+        double expected = 0.0;       ///< units taken for that since they were heard
+        monotonic_time elsewhere_at;
+        monotonic_time expected_until;
     };
 
+    void adjust(account& known, monotonic_time now) const;
+
     struct peer_totals {
         std::uint64_t incarnation = 0;
         std::map<organisation_id, double> admitted;
     };
 
+    /// What this node has admitted for an organisation.
+    struct own_total {
+        double units = 0.0;
+        std::uint64_t changed = 0; ///< number of digests sent before the last change
+    };
+
+    void add_to_total(const organisation_id& id, double units);
+
     duration window;
     double share = 1.0;
+    std::size_t groups = 1;
     bool is_urgent = false;
     std::map<organisation_id, double> since_digest;
     std::map<organisation_id, account> accounts;
-    std::map<organisation_id, double> totals;
+    std::map<organisation_id, own_total> totals;
     std::map<node_id, peer_totals> peers;
+    std::map<organisation_id, double> peer_sums; ///< over all incarnations of `peers`
+    compact_units elsewhere;
+    std::uint64_t digests = 0;
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/placement/load_model.h
+++ b/include/eelgrassbend/placement/load_model.h
@@ -24,6 +24,12 @@
     friend bool operator==(const endpoint_work&, const endpoint_work&) = default;
 };
 
+/// Work by endpoint, for a compact form between groups of nodes: endpoints go by a hash of their
+/// name. Two with one hash are rare, and each counts for both.
+using endpoint_key = std::uint32_t;
+using compact_work = std::map<endpoint_key, endpoint_work>;
+endpoint_key key_of(const endpoint_id& endpoint);
+
 /// What an endpoint says of its load with an answer.
 struct reported_load {
     int running = 0;
@@ -70,8 +76,19 @@
     /// A digest with the own work was sent.
     void digest_sent() { this->unsent_prompt = 0; }
 
-    /// Nodes whose work is known, this one included.
-    [[nodiscard]] std::size_t node_count() const { return this->peers.size() + 1; }
+    /// Nodes whose work counts, this one included.
+    [[nodiscard]] std::size_t node_count() const
+    {
+        return this->peers.size() + this->nodes_elsewhere + 1;
+    }
+
+    /// Work of this node and of those that tell it theirs, without that of other groups.
+    [[nodiscard]] compact_work group_work() const;
+    /// Replaces what the nodes of other groups have under way at the endpoints with keys in
+    /// [from, to).
+    void work_elsewhere(std::uint64_t from, std::uint64_t to, const compact_work& work);
+
+    void set_nodes_elsewhere(std::size_t count) { this->nodes_elsewhere = count; }
 
     /// Work of all nodes, as far as known.
     [[nodiscard]] endpoint_work total(const endpoint_id& endpoint) const;
@@ -125,6 +142,8 @@
     std::map<endpoint_id, endpoint_state> endpoints;
     std::map<node_id, std::map<endpoint_id, endpoint_work>> peers;
     std::map<endpoint_id, endpoint_work> peer_sums; ///< over `peers`
+    compact_work elsewhere;                         ///< of other groups
+    std::size_t nodes_elsewhere = 0;
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -101,6 +101,7 @@
     std::optional<monotonic_time> regained; ///< first success after the last failure
     duration next_retry{};
     relay_window window;
+    bool was_relayed = false;               ///< the next read is to tell at once what is in the log
     std::optional<monotonic_time> heard_at; ///< newest confirmation by another node
     bool failing = false;
 };
--- a/lib/fleet/fleet_view.cpp
+++ b/lib/fleet/fleet_view.cpp
@@ -1,16 +1,24 @@
 #include "eelgrassbend/fleet/fleet_view.h"
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace eelgrassbend {
 
-/// Digests that are remembered; at the highest rate these are some seconds.
-static constexpr std::size_t remembered_digests = 128;
+/// Time for which a digest is remembered, and how many at most; an echo comes within a second or
+/// two, and a node that speaks for its group sends some hundred digests a second.
+static constexpr std::chrono::seconds remembered_time{12};
+static constexpr std::size_t remembered_digests = 8192;
+
+/// Digests that can overtake one on its way; those of about a second.
+static constexpr std::uint64_t most_overtaken = 256;
 
 void sent_digests::add(std::uint64_t sequence, monotonic_time when)
 {
     this->times[sequence] = when;
-    if (this->times.size() > remembered_digests) {
+    while (when - this->times.begin()->second > remembered_time ||
+           this->times.size() > remembered_digests) {
         this->times.erase(this->times.begin());
     }
 }
@@ -21,16 +29,9 @@
     return found == this->times.end() ? std::nullopt : std::optional{found->second};
 }
 
-void fleet_view::add_record(const node_record& record)
+fleet_view::fleet_view(node_id self, availability_zone zone)
+    : self(self), division(std::move(self), std::move(zone))
 {
-    if (record.node != this->self) {
-        this->records[record.node] = record;
-    }
-}
-
-void fleet_view::remove_record(const node_id& node)
-{
-    this->records.erase(node);
 }
 
 bool fleet_view::heard(const node_digest& digest, monotonic_time now)
@@ -48,51 +49,90 @@
             return false;
         }
     }
-    this->known[digest.node] = {digest, now};
+    auto& entry = this->known[digest.node];
+    entry = {digest, now};
+    // What is worked into other models need not be kept twice.
+    entry.digest.work.clear();
+    entry.digest.admitted.clear();
+    entry.digest.usage.clear();
+    entry.digest.positions.clear();
+    entry.digest.summary.reset();
     return true;
 }
 
-std::vector<const known_node*> fleet_view::alive(monotonic_time now) const
+bool fleet_view::is_late(const node_digest& digest) const
+{
+    const auto found = this->known.find(digest.node);
+    if (found == this->known.end()) {
+        return false;
+    }
+    const auto& last = found->second.digest;
+    return digest.incarnation == last.incarnation && digest.sequence < last.sequence &&
+           last.sequence - digest.sequence < most_overtaken;
+}
+
+std::vector<const known_node*> fleet_view::alive_where(monotonic_time now, bool in_group) const
 {
     std::vector<const known_node*> nodes;
     for (const auto& [id, node] : this->known) {
-        if (now - node.heard < node_silence) {
+        if (now - node.heard < node_silence && this->is_in_group(node.digest) == in_group) {
             nodes.push_back(&node);
         }
     }
     return nodes;
 }
 
+std::vector<const known_node*> fleet_view::alive(monotonic_time now) const
+{
+    return this->alive_where(now, true);
+}
+
+std::vector<const known_node*> fleet_view::alive_elsewhere(monotonic_time now) const
+{
+    return this->alive_where(now, false);
+}
+
+// Nodes that disagree for a while both speak; what they say can be heard twice without harm.
+bool fleet_view::is_representative(monotonic_time now) const
+{
+    const auto nodes = this->alive(now);
+    return std::none_of(nodes.begin(), nodes.end(), [&](const known_node* node) {
+        return !node->digest.is_leaving && node->digest.node < this->self;
+    });
+}
+
 std::vector<network_address> fleet_view::receivers(monotonic_time now, bool with_silent) const
 {
     std::set<network_address> addresses;
-    for (const auto& [id, node] : this->known) {
-        if (now - node.heard < node_silence) {
-            addresses.insert(node.digest.datagrams);
-        }
+    for (const auto* node : this->alive(now)) {
+        addresses.insert(node->digest.datagrams);
     }
     if (with_silent) {
-        for (const auto& [id, record] : this->records) {
-            addresses.insert(record.datagrams);
+        for (const auto& [id, record] : this->division.records()) {
+            if (this->division.is_own(id, record.zone)) {
+                addresses.insert(record.datagrams);
+            }
         }
     }
     return {addresses.begin(), addresses.end()};
 }
 
-double fleet_view::heard_share(monotonic_time now) const
+node_counts fleet_view::counts(monotonic_time now) const
 {
-    double heard = 1.0;
-    double serving = 1.0;
+    node_counts counted{1, 1};
     for (const auto& [id, node] : this->known) {
+        if (!this->is_in_group(node.digest)) {
+            continue;
+        }
         const auto silent = now - node.heard;
         if (silent < node_silence) {
-            heard += 1.0;
+            ++counted.heard;
         }
         if (silent < node_silence || (silent < node_absence && !node.digest.is_leaving)) {
-            serving += 1.0;
+            ++counted.serving;
         }
     }
-    return heard / serving;
+    return counted;
 }
 
 std::vector<network_address> fleet_view::ready_callers(monotonic_time now) const
--- /dev/null
+++ b/lib/fleet/group_summary.cpp
@@ -0,0 +1,57 @@
+#include "eelgrassbend/fleet/group_summary.h"
+
+#include <utility>
+
+namespace eelgrassbend {
+
+/// Entries that fit a datagram beside a digest's other fields.
+static constexpr std::size_t work_in_part = 64;
+static constexpr std::size_t units_in_part = 64;
+static constexpr std::size_t addresses_in_part = 32;
+
+static void split_work(const group_summary& head, const work_range& whole,
+                       std::vector<group_summary>& parts)
+{
+    work_range part;
+    part.from = whole.from;
+    for (const auto& [key, work] : whole.work) {
+        if (part.work.size() == work_in_part) {
+            part.to = key;
+            parts.push_back(head);
+            parts.back().work = std::exchange(part, work_range{key, whole.to, {}});
+        }
+        part.work[key] = work;
+    }
+    part.to = whole.to;
+    parts.push_back(head);
+    parts.back().work = std::move(part);
+}
+
+std::vector<group_summary> split_summary(const group_summary& whole)
+{
+    group_summary head;
+    head.group = whole.group;
+    head.heard = whole.heard;
+    head.serving = whole.serving;
+    head.duty_holder = whole.duty_holder;
+    std::vector<group_summary> parts;
+    if (whole.work) {
+        split_work(head, *whole.work, parts);
+    }
+    std::size_t index = 0;
+    for (const auto& [key, units] : whole.admitted) {
+        if (index++ % units_in_part == 0) {
+            parts.push_back(head);
+        }
+        parts.back().admitted[key] = units;
+    }
+    for (index = 0; index < whole.ready.size(); ++index) {
+        if (index % addresses_in_part == 0) {
+            parts.push_back(head);
+        }
+        parts.back().ready.push_back(whole.ready[index]);
+    }
+    return parts;
+}
+
+} // namespace eelgrassbend
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -19,6 +19,9 @@
 static std::size_t bytes_without_work(const node_digest& digest)
 {
     std::size_t bytes = fixed_bytes + digest.node.value().size() + digest.zone.value().size();
+    for (const auto& entry : digest.leaving) {
+        bytes += count_bytes + entry.endpoint.value().size();
+    }
     for (const auto& [organisation, units] : digest.admitted) {
         bytes += count_bytes + organisation.value().size();
     }
@@ -60,11 +63,12 @@
     return static_cast<unsigned>(list.size());
 }
 
-static void write_usage(const node_digest& digest, wire::NodeDigest::Builder out)
+using usage_windows = std::map<usage_window, usage_counts>;
+
+static void write_usage(const usage_windows& usage, capnp::List<wire::UsageWindow>::Builder windows)
 {
-    auto windows = out.initUsage(list_size(digest.usage));
     unsigned index = 0;
-    for (const auto& [window, counts] : digest.usage) {
+    for (const auto& [window, counts] : usage) {
         auto entry = windows[index++];
         entry.setWindow(window.value());
         auto list = entry.initCounts(list_size(counts));
@@ -77,9 +81,108 @@
     }
 }
 
+static usage_windows read_usage(capnp::List<wire::UsageWindow>::Reader windows)
+{
+    usage_windows usage;
+    for (const auto entry : windows) {
+        auto& counts = usage[usage_window{entry.getWindow()}];
+        for (const auto count : entry.getCounts()) {
+            counts[organisation_id{to_string(count.getOrganisation())}] = count.getRequests();
+        }
+    }
+    return usage;
+}
+
+static void write_address(const network_address& address, wire::Address::Builder out)
+{
+    out.setIp(address.ip);
+    out.setPort(address.port);
+}
+
+static network_address read_address(wire::Address::Reader in)
+{
+    return {to_string(in.getIp()), in.getPort()};
+}
+
+static void write_work(const work_range& range, wire::GroupSummary::Builder out)
+{
+    out.setHasWork(true);
+    out.setWorkFrom(range.from);
+    out.setWorkTo(range.to);
+    auto list = out.initWork(list_size(range.work));
+    unsigned index = 0;
+    for (const auto& [key, work] : range.work) {
+        auto entry = list[index++];
+        entry.setEndpoint(key);
+        entry.setRequests(work.requests);
+        entry.setWaitingPrompt(work.waiting_prompt);
+        entry.setMemory(work.memory);
+    }
+}
+
+static void write_summary(const group_summary& summary, wire::GroupSummary::Builder out)
+{
+    out.setGroup(summary.group.value());
+    out.setHeard(summary.heard);
+    out.setServing(summary.serving);
+    if (summary.duty_holder) {
+        write_address(*summary.duty_holder, out.initHolder());
+    }
+    if (summary.work) {
+        write_work(*summary.work, out);
+    }
+    auto admitted = out.initAdmitted(list_size(summary.admitted));
+    unsigned index = 0;
+    for (const auto& [key, units] : summary.admitted) {
+        admitted[index].setOrganisation(key);
+        admitted[index++].setUnits(units);
+    }
+    auto ready = out.initReady(list_size(summary.ready));
+    for (index = 0; index < summary.ready.size(); ++index) {
+        write_address(summary.ready[index], ready[index]);
+    }
+    write_usage(summary.usage, out.initUsage(list_size(summary.usage)));
+}
+
+static group_summary read_summary(wire::GroupSummary::Reader in)
+{
+    group_summary summary;
+    summary.group = group_id{to_string(in.getGroup())};
+    summary.heard = in.getHeard();
+    summary.serving = in.getServing();
+    if (in.getHolder().getPort() != 0) {
+        summary.duty_holder = read_address(in.getHolder());
+    }
+    if (in.getHasWork()) {
+        summary.work = work_range{in.getWorkFrom(), in.getWorkTo(), {}};
+        for (const auto entry : in.getWork()) {
+            summary.work->work[entry.getEndpoint()] = {entry.getRequests(),
+                                                       entry.getWaitingPrompt(), entry.getMemory()};
+        }
+    }
+    for (const auto entry : in.getAdmitted()) {
+        summary.admitted[entry.getOrganisation()] = entry.getUnits();
+    }
+    for (const auto entry : in.getReady()) {
+        summary.ready.push_back(read_address(entry));
+    }
+    summary.usage = read_usage(in.getUsage());
+    return summary;
+}
+
+static void write_leaving(const node_digest& digest, wire::NodeDigest::Builder out)
+{
+    auto list = out.initLeavingEndpoints(list_size(digest.leaving));
+    for (unsigned index = 0; index < digest.leaving.size(); ++index) {
+        list[index].setEndpoint(digest.leaving[index].endpoint.value());
+        list[index].setStarted(digest.leaving[index].started);
+    }
+}
+
 static void write_positions(const node_digest& digest, wire::NodeDigest::Builder out)
 {
     out.setReadsStore(digest.reads_store);
+    out.setPositionsFrom(digest.positions_from.value());
     out.setEchoIncarnation(digest.echo.value_or(digest_number{}).incarnation);
     out.setEchoSequence(digest.echo.value_or(digest_number{}).sequence);
     auto positions = out.initPositions(list_size(digest.positions));
@@ -156,8 +259,12 @@
         admitted[index].setUnits(units);
         ++index;
     }
-    write_usage(digest, out);
+    write_usage(digest.usage, out.initUsage(list_size(digest.usage)));
     write_positions(digest, out);
+    write_leaving(digest, out);
+    if (digest.summary) {
+        write_summary(*digest.summary, out.initSummary());
+    }
     return to_bytes(message);
 }
 
@@ -183,12 +290,14 @@
     for (const auto entry : in.getAdmitted()) {
         digest.admitted[organisation_id{to_string(entry.getOrganisation())}] = entry.getUnits();
     }
-    for (const auto entry : in.getUsage()) {
-        auto& counts = digest.usage[usage_window{entry.getWindow()}];
-        for (const auto count : entry.getCounts()) {
-            counts[organisation_id{to_string(count.getOrganisation())}] = count.getRequests();
-        }
+    digest.usage = read_usage(in.getUsage());
+    for (const auto entry : in.getLeavingEndpoints()) {
+        digest.leaving.push_back({endpoint_id{to_string(entry.getEndpoint())}, entry.getStarted()});
+    }
+    if (in.hasSummary()) {
+        digest.summary = read_summary(in.getSummary());
     }
+    digest.positions_from = group_id{to_string(in.getPositionsFrom())};
     digest.reads_store = in.getReadsStore();
     if (in.getEchoIncarnation() != 0) {
         digest.echo = digest_number{in.getEchoIncarnation(), in.getEchoSequence()};
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -26,7 +26,7 @@
 /// Endpoints write their records about once a second each, and each read is paid for; reads gather
 /// them for a part of the bound for leaving endpoints, and do not wait for more.
 static constexpr double endpoint_pause_part = 0.2;
-static constexpr double endpoint_silence_part = 0.45;
+static constexpr double endpoint_silence_part = 0.65;
 /// Records of entry nodes change only when nodes come and go, and a new node finds the others by
 /// itself; these reads only make good what was missed.
 static constexpr std::chrono::seconds node_wait{20};
@@ -100,6 +100,7 @@
 {
     usage_reporter_settings derived;
     derived.due = settings.bounds.usage_due;
+    derived.settle = std::min(derived.settle, derived.due / 4);
     return derived;
 }
 
@@ -152,16 +153,16 @@
       quotas(node_settings.bounds.quota_window + quota_window_margin),
       retries(node_settings.bounds.retries),
       usage(node_settings.bounds.usage_window),
-      fleet(node_settings.node),
+      fleet(node_settings.node, node_settings.zone),
       answer_memory(longest_answer, all_answers),
       services{forward,      needs.time, needs.random, needs.log,    needs.counters, needs.protocol,
                needs.client, endpoints,  loads,        cache,        places,         quotas,
                retries,      usage,      needs.mover,  answer_memory},
       front(services),
       presence(
-          needs.store, needs.datagrams, needs.time, needs.log,
-          {node_settings.node, node_settings.zone, node_settings.callers, node_settings.datagrams},
-          fleet, loads, quotas, retries, usage),
+          {needs.store, needs.datagrams, needs.time, needs.random, needs.log},
+          {fleet, loads, endpoints, quotas, retries, usage},
+          {node_settings.node, node_settings.zone, node_settings.callers, node_settings.datagrams}),
       lease(needs.store, needs.time, needs.log, presence, lease_settings(node_settings)),
       reporter(needs.store, needs.time, needs.log, lease, usage, needs.duties,
                usage_settings(node_settings)),
@@ -171,9 +172,9 @@
           [this](std::shared_ptr<const route_table> table) { this->take_table(std::move(table)); },
           [this](monotonic_time as_of) { this->front.configuration_confirmed(as_of); }),
       endpoint_records(needs.declared, needs.log, needs.time, endpoints),
-      operators(needs.store, needs.time, needs.random, needs.log, presence,
+      operators(needs.store, needs.time, needs.random, needs.log, presence.relay(),
                 needs.declared.operators(), configuration_reading(node_settings), configurations),
-      endpoint_follower(needs.store, needs.time, needs.random, needs.log, presence,
+      endpoint_follower(needs.store, needs.time, needs.random, needs.log, presence.relay(),
                         needs.declared.endpoints(), endpoint_reading(node_settings),
                         endpoint_records),
       nodes(needs.store, needs.time, needs.random, needs.log, own_reads, node_presence::topic(),
@@ -316,6 +317,8 @@
 std::vector<network_address> gateway::callers() const
 {
     auto addresses = this->held->fleet.ready_callers(this->held->needs.time.now());
+    const auto elsewhere = this->held->presence.ready_elsewhere();
+    addresses.insert(addresses.end(), elsewhere.begin(), elsewhere.end());
     if (this->is_ready() || addresses.empty()) {
         addresses.push_back(this->held->settings.callers);
     }
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace eelgrassbend {
@@ -24,37 +25,33 @@
 /// Each so many rounds of digests goes to silent nodes too, so that they are heard when they come
 /// back.
 static constexpr std::uint64_t silent_every = 4;
-/// With fewer nodes than this, one reads the store for all.
-static constexpr std::size_t nodes_with_one_reader = 16;
+/// Each so many rounds of digests the group hears of the other groups.
+static constexpr std::uint64_t summary_every = 2;
+/// Windows of usage that the other groups hear of in turn.
+static constexpr std::size_t told_windows = 2;
 /// Pause before the node's record is written again after a failure.
 static constexpr std::chrono::milliseconds register_pause{500};
 
-node_presence::node_presence(record_store& store, datagram_transport& datagrams, scheduler& time,
-                             event_log& log, node_identity identity, fleet_view& fleet,
-                             load_model& loads, fleet_quota& quotas, retry_budget& retries,
-                             usage_board& usage)
-    : store(store),
-      datagrams(datagrams),
-      time(time),
-      log(log),
+node_presence::node_presence(const gateway_links& links, const fleet_models& models,
+                             node_identity identity)
+    : links(links),
+      models(models),
       identity(std::move(identity)),
-      fleet(fleet),
-      loads(loads),
-      quotas(quotas),
-      retries(retries),
-      usage(usage)
+      groups(models.fleet, models.loads, models.quotas, models.retries, models.usage, links.random),
+      positions(links.datagrams, links.time, models.fleet, *this, this->identity.node)
 {
-    this->incarnation = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(time.wall_now().time_since_epoch())
-            .count());
+    this->incarnation =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                       links.time.wall_now().time_since_epoch())
+                                       .count());
 }
 
 node_presence::~node_presence()
 {
-    this->datagrams.set_receiver(nullptr);
+    this->links.datagrams.set_receiver(nullptr);
     for (auto& pending : {this->timer, this->register_timer}) {
         if (pending) {
-            this->time.cancel(*pending);
+            this->links.time.cancel(*pending);
         }
     }
 }
@@ -63,7 +60,8 @@
 {
     this->lease = &holder;
     this->others = std::move(handlers);
-    this->datagrams.set_receiver(
+    this->positions.start(this->others.heard);
+    this->links.datagrams.set_receiver(
         [this](const network_address&, const std::string& bytes) { this->receive(bytes); });
     this->register_node();
     this->tick();
@@ -72,64 +70,71 @@
 void node_presence::register_node()
 {
     const nlohmann::json record{{"ip", this->identity.datagrams.ip},
-                                {"port", this->identity.datagrams.port}};
-    this->store.append(topic(), {{log_offset{}, this->identity.node.value(), record.dump()}},
-                       std::nullopt, this->scope.guard([this](const result<append_answer>& answer) {
-                           if (answer) {
-                               this->others.registered();
-                               return;
-                           }
-                           this->log.write(log_level::warning, "register_failed",
-                                           {{"error", answer.error().to_string()}});
-                           this->register_timer = this->time.call_after(
-                               register_pause, [this] { this->register_node(); });
-                       }));
+                                {"port", this->identity.datagrams.port},
+                                {"zone", this->identity.zone.value()}};
+    this->links.store.append(
+        topic(), {{log_offset{}, this->identity.node.value(), record.dump()}}, std::nullopt,
+        this->scope.guard([this](const result<append_answer>& answer) {
+            if (answer) {
+                this->others.registered();
+                return;
+            }
+            this->links.log.write(log_level::warning, "register_failed",
+                                  {{"error", answer.error().to_string()}});
+            this->register_timer =
+                this->links.time.call_after(register_pause, [this] { this->register_node(); });
+        }));
 }
 
 bool node_presence::record_written(const std::string& key, const std::string& value)
 {
     const auto parsed = nlohmann::json::parse(value, nullptr, false);
     const bool is_valid = parsed.is_object() && parsed.contains("ip") && parsed.contains("port") &&
-                          parsed["ip"].is_string() && parsed["port"].is_number_unsigned();
+                          parsed.contains("zone") && parsed["ip"].is_string() &&
+                          parsed["port"].is_number_unsigned() && parsed["zone"].is_string();
     if (!is_valid) {
-        this->log.write(log_level::warning, "node_record_invalid", {{"node", key}});
+        this->links.log.write(log_level::warning, "node_record_invalid", {{"node", key}});
         return true;
     }
-    this->fleet.add_record(
-        {node_id{key}, {parsed["ip"].get<std::string>(), parsed["port"].get<std::uint16_t>()}});
+    this->models.fleet.add_record(
+        {node_id{key},
+         {parsed["ip"].get<std::string>(), parsed["port"].get<std::uint16_t>()},
+         availability_zone{parsed["zone"].get<std::string>()}});
     return true;
 }
 
 void node_presence::record_removed(const std::string& key, bool /*after_gap*/)
 {
-    this->fleet.remove_record(node_id{key});
+    this->models.fleet.remove_record(node_id{key});
 }
 
 void node_presence::announce_leaving()
 {
     this->is_leaving = true;
     this->send_digest();
-    this->store.append(topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}},
-                       std::nullopt, this->scope.guard([this](const result<append_answer>& answer) {
-                           // The record of a node that is gone does no harm: it is silent.
-                           if (!answer) {
-                               this->log.write(log_level::info, "deregister_failed",
-                                               {{"error", answer.error().to_string()}});
-                           }
-                       }));
+    this->links.store.append(topic(), {{log_offset{}, this->identity.node.value(), std::nullopt}},
+                             std::nullopt,
+                             this->scope.guard([this](const result<append_answer>& answer) {
+                                 // The record of a node that is gone does no harm: it is silent.
+                                 if (!answer) {
+                                     this->links.log.write(log_level::info, "deregister_failed",
+                                                           {{"error", answer.error().to_string()}});
+                                 }
+                             }));
 }
 
 void node_presence::tick()
 {
-    const auto now = this->time.now();
-    const auto nodes = this->fleet.alive(now).size();
+    const auto now = this->links.time.now();
+    const auto nodes = this->models.fleet.alive(now).size();
     this->turns = nodes / (nodes_at_once + 1) + 1;
     const auto interval = digest_interval_time / this->turns;
     const auto shortest = std::clamp<duration>(urgent_interval_per_node * nodes,
                                                urgent_interval_time, digest_interval_time);
-    this->timer =
-        this->time.call_after(std::min<duration>(shortest, interval), [this] { this->tick(); });
-    const bool needs_digest = this->quotas.needs_digest() || this->loads.needs_digest();
+    this->timer = this->links.time.call_after(std::min<duration>(shortest, interval),
+                                              [this] { this->tick(); });
+    const bool needs_digest =
+        this->models.quotas.needs_digest() || this->models.loads.needs_digest();
     if (now < this->next_digest && !needs_digest) {
         return;
     }
@@ -139,11 +144,16 @@
         this->next_usage = now + usage_interval_time;
         this->send_usage();
     }
-    this->quotas.set_heard_share(this->fleet.heard_share(now), now);
-    this->retries.set_node_count(nodes + 1);
-    for (const auto& [node, known] : this->fleet.all()) {
-        if (now - known.heard >= node_silence) {
-            this->loads.forget_peer(node);
+    if (now >= this->next_summary) {
+        this->next_summary = now + digest_interval_time;
+        this->groups.update(now);
+        if (this->groups.speaks(now)) {
+            this->speak_for_group();
+        }
+    }
+    for (const auto& [node, known] : this->models.fleet.all()) {
+        if (now - known.heard >= node_silence || !this->models.fleet.is_in_group(known.digest)) {
+            this->models.loads.forget_peer(node);
         }
     }
 }
@@ -155,12 +165,13 @@
     digest.incarnation = this->incarnation;
     digest.sequence = ++this->sequence;
     digest.is_leaving = this->is_leaving;
-    digest.is_ready = !this->is_leaving && this->others.is_ready();
+    digest.is_ready = this->takes_callers();
     digest.reads_store = this->others.reads_store();
     digest.callers = this->identity.callers;
     digest.datagrams = this->identity.datagrams;
     digest.zone = this->identity.zone;
     digest.duty_token = this->lease->token();
+    this->sent.add(digest.sequence, this->links.time.now());
     return digest;
 }
 
@@ -168,14 +179,15 @@
 {
     auto digest = this->make_digest();
     digest.carries_load = true;
-    digest.work = this->loads.own_work();
-    digest.admitted = this->quotas.admitted();
-    this->quotas.digest_sent();
-    this->loads.digest_sent();
+    digest.work = this->models.loads.own_work();
+    digest.admitted = this->models.quotas.for_digest();
+    digest.leaving = this->models.endpoints.told_leaving(this->links.time.now());
+    this->models.quotas.digest_sent();
+    this->models.loads.digest_sent();
     ++this->digest_count;
     const bool with_silent =
         this->is_leaving || this->digest_count / this->turns % silent_every == 0;
-    const auto receivers = this->fleet.receivers(this->time.now(), with_silent);
+    const auto receivers = this->models.fleet.receivers(this->links.time.now(), with_silent);
     std::vector<network_address> chosen;
     for (std::size_t index = 0; index < receivers.size(); ++index) {
         if (this->is_leaving || index % this->turns == this->digest_count % this->turns) {
@@ -183,6 +195,46 @@
         }
     }
     this->send(digest, chosen);
+    const bool has_turn = this->digest_count / this->turns % summary_every == 0;
+    if (has_turn && this->groups.speaks(this->links.time.now())) {
+        this->send_summary(this->groups.summary_elsewhere(this->links.time.now()), chosen);
+    }
+}
+
+void node_presence::send_summary(const group_summary& whole,
+                                 const std::vector<network_address>& receivers)
+{
+    for (auto& part : split_summary(whole)) {
+        auto digest = this->make_digest();
+        digest.summary = std::move(part);
+        this->send(digest, receivers);
+    }
+}
+
+// The other representatives hear of the load each time, and of one window of usage with it.
+void node_presence::speak_for_group()
+{
+    const auto now = this->links.time.now();
+    const auto ready = this->takes_callers() ? std::optional{this->identity.callers} : std::nullopt;
+    const auto summary = this->groups.own_summary(now, this->holder_in_group(), ready);
+    auto receivers = this->groups.representatives(now);
+    this->send_summary(summary, receivers);
+    const auto windows = this->models.usage.group_counts();
+    if (windows.empty()) {
+        return;
+    }
+    if (const auto holder = this->groups.holder_elsewhere(now)) {
+        receivers.push_back(*holder);
+    }
+    auto digest = this->make_digest();
+    digest.summary.emplace();
+    digest.summary->group = summary.group;
+    digest.summary->heard = summary.heard;
+    digest.summary->serving = summary.serving;
+    digest.summary->duty_holder = summary.duty_holder;
+    const auto back = std::min(windows.size(), 1 + ++this->usage_turn % told_windows);
+    digest.summary->usage.insert(*std::prev(windows.end(), static_cast<std::ptrdiff_t>(back)));
+    this->send(digest, receivers);
 }
 
 // Usage has datagrams of its own, since with many organisations it leaves no room for the load. The
@@ -190,14 +242,14 @@
 void node_presence::send_usage()
 {
     auto digest = this->make_digest();
-    digest.usage = this->usage.own();
+    digest.usage = this->models.usage.own();
     const bool is_newest = ++this->usage_turn % 2 == 1;
     while (digest.usage.size() > windows_in_digest) {
         digest.usage.erase(is_newest ? digest.usage.begin() : std::prev(digest.usage.end()));
     }
     std::vector<network_address> chosen;
     std::size_t before = 0;
-    for (const auto* node : this->fleet.alive(this->time.now())) {
+    for (const auto* node : this->models.fleet.alive(this->links.time.now())) {
         if (node->digest.duty_token || before++ < successors) {
             chosen.push_back(node->digest.datagrams);
         }
@@ -208,9 +260,8 @@
 void node_presence::send(const node_digest& digest, const std::vector<network_address>& receivers)
 {
     const auto bytes = encode_digest(digest);
-    this->sent.add(digest.sequence, this->time.now());
     for (const auto& address : receivers) {
-        this->datagrams.send(address, bytes);
+        this->links.datagrams.send(address, bytes);
     }
 }
 
@@ -218,93 +269,75 @@
 {
     const auto digest = decode_digest(bytes);
     if (!digest) {
-        this->log.write(log_level::warning, "digest_invalid",
-                        {{"error", digest.error().to_string()}});
+        this->links.log.write(log_level::warning, "digest_invalid",
+                              {{"error", digest.error().to_string()}});
         return;
     }
-    const auto now = this->time.now();
+    const auto now = this->links.time.now();
     const auto& told = digest.value();
-    if (!this->fleet.heard(told, now)) {
+    const bool is_newest = this->models.fleet.heard(told, now);
+    if (!is_newest && !this->models.fleet.is_late(told)) {
         return;
     }
-    if (told.carries_load) {
-        this->loads.peer_work(told.node, told.work);
-        this->quotas.heard(told.node, told.incarnation, told.admitted, now);
+    if (this->models.fleet.is_in_group(told)) {
+        if (told.carries_load && is_newest) {
+            this->models.loads.peer_work(told.node, told.work);
+            this->models.quotas.heard(told.node, told.incarnation, told.admitted, now);
+        }
+        this->models.usage.heard(told.node, told.incarnation, told.usage);
+    }
+    for (const auto& leaving : told.leaving) {
+        this->models.endpoints.heard_leaving(leaving, now);
     }
-    this->usage.heard(told.node, told.incarnation, told.usage);
-    this->take_positions(told);
-}
-
-// How old a position is shows from the echo: the other node sent it after it had heard that digest
-// of this node. The time of its arrival says nothing if this process was paused meanwhile.
-void node_presence::take_positions(const node_digest& told)
-{
+    this->groups.heard(told, now);
     std::optional<monotonic_time> sent_at;
     if (told.echo && told.echo->incarnation == this->incarnation) {
         sent_at = this->sent.time_of(told.echo->sequence);
     }
-    for (const auto& position : told.positions) {
-        std::optional<monotonic_time> as_of;
-        if (sent_at) {
-            as_of = *sent_at - position.age;
-        }
-        this->others.heard(position, as_of);
-    }
+    this->positions.heard(told, sent_at);
 }
 
-// Few nodes have one reader for all of them; with many, each zone has its own.
-bool node_presence::is_in_group(const known_node& other) const
+bool node_presence::takes_callers() const
 {
-    return this->fleet.alive(this->time.now()).size() < nodes_with_one_reader ||
-           other.digest.zone == this->identity.zone;
+    return !this->is_leaving && this->others.is_ready();
 }
 
-bool node_presence::is_reader() const
+std::vector<network_address> node_presence::ready_elsewhere() const
 {
-    for (const auto* node : this->fleet.alive(this->time.now())) {
-        const auto& told = node->digest;
-        if (told.reads_store && !told.is_leaving && told.node < this->identity.node &&
-            this->is_in_group(*node)) {
-            return false;
-        }
-    }
-    return true;
+    return this->groups.ready_elsewhere(this->links.time.now());
 }
 
-void node_presence::pass_on(const std::vector<topic_position>& positions)
+std::optional<network_address> node_presence::holder_in_group() const
 {
-    for (const auto* node : this->fleet.alive(this->time.now())) {
-        if (!this->is_in_group(*node)) {
-            continue;
-        }
-        for (const auto& position : positions) {
-            auto digest = this->make_digest();
-            digest.echo = digest_number{node->digest.incarnation, node->digest.sequence};
-            digest.positions = {position};
-            this->datagrams.send(node->digest.datagrams, encode_digest(digest));
+    if (this->lease->token()) {
+        return this->identity.datagrams;
+    }
+    for (const auto* node : this->models.fleet.alive(this->links.time.now())) {
+        if (node->digest.duty_token) {
+            return node->digest.datagrams;
         }
     }
+    return std::nullopt;
 }
 
 bool node_presence::other_holder_heard() const
 {
-    for (const auto* node : this->fleet.alive(this->time.now())) {
-        if (node->digest.duty_token) {
-            return true;
-        }
-    }
-    return false;
+    const auto holder = this->holder_in_group();
+    return (holder && *holder != this->identity.datagrams) ||
+           this->groups.holder_elsewhere(this->links.time.now()).has_value();
 }
 
+// The first nodes of all groups come before the second ones.
 std::size_t node_presence::rank() const
 {
     std::size_t before = 0;
-    for (const auto* node : this->fleet.alive(this->time.now())) {
+    for (const auto* node : this->models.fleet.alive(this->links.time.now())) {
         if (!node->digest.is_leaving && node->digest.node < this->identity.node) {
             ++before;
         }
     }
-    return before;
+    const auto& division = this->models.fleet.groups();
+    return before * division.group_count() + division.own_place();
 }
 
 } // namespace eelgrassbend
--- /dev/null
+++ b/lib/gateway/position_relay.cpp
@@ -0,0 +1,91 @@
+#include "eelgrassbend/gateway/position_relay.h"
+
+#include <utility>
+
+namespace eelgrassbend {
+
+position_relay::position_relay(datagram_transport& datagrams, scheduler& time,
+                               const fleet_view& fleet, digest_source& digests, node_id self)
+    : datagrams(datagrams), time(time), fleet(fleet), digests(digests), self(std::move(self))
+{
+}
+
+// How old a position is shows from the echo: the other node sent it after it had heard that digest
+// of this node. The time of its arrival says nothing if this process was paused meanwhile.
+void position_relay::heard(const node_digest& told, std::optional<monotonic_time> sent_at)
+{
+    if (told.positions.empty()) {
+        return;
+    }
+    const auto now = this->time.now();
+    std::vector<topic_position> confirmed;
+    for (const auto& position : told.positions) {
+        std::optional<monotonic_time> as_of;
+        if (sent_at) {
+            as_of = *sent_at - position.age;
+            confirmed.push_back(position);
+            confirmed.back().age = now - *as_of;
+        }
+        this->on_position(position, as_of);
+    }
+    if (confirmed.empty()) {
+        return;
+    }
+    if (told.positions_from < this->fleet.groups().own()) {
+        this->heard_elsewhere = now;
+    }
+    this->forward(told, confirmed);
+}
+
+void position_relay::forward(const node_digest& told, const std::vector<topic_position>& positions)
+{
+    const auto now = this->time.now();
+    if (!this->fleet.is_representative(now)) {
+        return;
+    }
+    const bool is_own = told.positions_from == this->fleet.groups().own();
+    this->send(is_own ? this->fleet.alive_elsewhere(now) : this->fleet.alive(now), positions,
+               told.positions_from);
+}
+
+// The first node of the group by name that reaches the store, if no other group reads for all.
+bool position_relay::is_reader() const
+{
+    const auto now = this->time.now();
+    if (this->heard_elsewhere && now - *this->heard_elsewhere < node_silence) {
+        return false;
+    }
+    for (const auto* node : this->fleet.alive(now)) {
+        const auto& told = node->digest;
+        if (told.reads_store && !told.is_leaving && told.node < this->self) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void position_relay::pass_on(const std::vector<topic_position>& positions)
+{
+    const auto now = this->time.now();
+    const auto& origin = this->fleet.groups().own();
+    this->send(this->fleet.alive(now), positions, origin);
+    if (this->fleet.is_representative(now)) {
+        this->send(this->fleet.alive_elsewhere(now), positions, origin);
+    }
+}
+
+void position_relay::send(const std::vector<const known_node*>& receivers,
+                          const std::vector<topic_position>& positions, const group_id& origin)
+{
+    for (const auto* node : receivers) {
+        for (const auto& position : positions) {
+            auto digest = this->digests.make_digest();
+            digest.echo = digest_number{node->digest.incarnation, node->digest.sequence};
+            digest.positions = {position};
+            digest.positions_from = origin;
+            this->datagrams.send(node->digest.datagrams, encode_digest(digest));
+        }
+    }
+}
+
+} // namespace eelgrassbend
--- a/lib/limits/fleet_quota.cpp
+++ b/lib/limits/fleet_quota.cpp
@@ -1,6 +1,9 @@
 #include "eelgrassbend/limits/fleet_quota.h"
 
+#include "eelgrassbend/support/hash.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace eelgrassbend {
 
@@ -11,6 +14,12 @@
 /// Part of a burst that lets a request in, whatever its size: what it takes beyond is paid back by
 /// the rate. Otherwise large requests would wait for a full bucket while small ones empty it.
 static constexpr double admitting_part = 0.1;
+/// Digests that name an organisation after its total has changed; as many lost ones do no harm.
+static constexpr std::uint64_t digests_with_change = 6;
+/// Time for which the others are expected to go on as before when nothing is heard of them.
+static constexpr std::chrono::seconds longest_expected{1};
+/// Weight of what was admitted between two summaries in the pace that is expected.
+static constexpr double pace_weight = 0.4;
 /// Units of one organisation, as a part of its burst, that the others should hear of at once.
 static constexpr double urgent_part = 0.04;
 
@@ -28,8 +37,8 @@
             known = found->second;
         }
         known.rate = entry.rate + burst_spread * entry.burst / seconds.count();
-        known.burst = entry.burst * burst_at_once;
-        known.bucket.configure(now, known.rate * this->share, known.burst);
+        known.whole_burst = entry.burst * burst_at_once;
+        this->adjust(known, now);
         if (found == this->accounts.end()) {
             // What was admitted before this process started is not known, so it counts as all.
             known.bucket.take(now, known.burst);
@@ -45,8 +54,27 @@
     }
     this->share = heard;
     for (auto& [id, known] : this->accounts) {
-        known.bucket.configure(now, known.rate * this->share, known.burst);
+        this->adjust(known, now);
+    }
+}
+
+void fleet_quota::set_group_count(std::size_t count, monotonic_time now)
+{
+    if (count == this->groups) {
+        return;
     }
+    this->groups = count;
+    for (auto& [id, known] : this->accounts) {
+        this->adjust(known, now);
+    }
+}
+
+// Groups hear of each other late, so a burst that all of them see may be taken by each: each group
+// has a part of it.
+void fleet_quota::adjust(account& known, monotonic_time now) const
+{
+    known.burst = known.whole_burst / static_cast<double>(this->groups);
+    known.bucket.configure(now, known.rate * this->share, known.burst);
 }
 
 std::optional<duration> fleet_quota::admit(const organisation_id& id, double units,
@@ -54,13 +82,14 @@
 {
     const auto found = this->accounts.find(id);
     if (found != this->accounts.end()) {
+        found->second.expect_elsewhere(now);
         const auto wait = found->second.bucket.wait_for(now, admitting_part * found->second.burst);
         if (wait > duration::zero()) {
             return wait;
         }
         found->second.bucket.take(now, units);
     }
-    this->totals[id] += units;
+    this->add_to_total(id, units);
     if (found != this->accounts.end()) {
         auto& unsent = this->since_digest[id];
         unsent += units;
@@ -71,6 +100,7 @@
 
 void fleet_quota::digest_sent()
 {
+    ++this->digests;
     this->is_urgent = false;
     this->since_digest.clear();
 }
@@ -80,7 +110,94 @@
     if (const auto found = this->accounts.find(id); found != this->accounts.end()) {
         found->second.bucket.take(now, -units);
     }
-    this->totals[id] -= units;
+    this->add_to_total(id, -units);
+}
+
+void fleet_quota::add_to_total(const organisation_id& id, double units)
+{
+    auto& total = this->totals[id];
+    total.units += units;
+    total.changed = this->digests;
+}
+
+// A change is repeated in a few digests; what all of them lose goes along in turn.
+std::map<organisation_id, double> fleet_quota::for_digest() const
+{
+    std::map<organisation_id, double> told;
+    std::size_t index = 0;
+    for (const auto& [id, total] : this->totals) {
+        const bool has_turn = index++ / repeated_in_digest ==
+                              this->digests % (this->totals.size() / repeated_in_digest + 1);
+        if (has_turn || this->digests - total.changed < digests_with_change) {
+            told[id] = total.units;
+        }
+    }
+    return told;
+}
+
+static organisation_key key_of(const organisation_id& id)
+{
+    return static_cast<organisation_key>(stable_hash(id.value()));
+}
+
+compact_units fleet_quota::group_admitted() const
+{
+    compact_units sums;
+    for (const auto& [id, total] : this->totals) {
+        sums[key_of(id)] += total.units;
+    }
+    for (const auto& [id, units] : this->peer_sums) {
+        sums[key_of(id)] += units;
+    }
+    return sums;
+}
+
+// Between two summaries the others go on as they did.
+void fleet_quota::account::expect_elsewhere(monotonic_time now)
+{
+    const auto until = std::min<monotonic_time>(now, this->elsewhere_at + longest_expected);
+    if (until <= this->expected_until) {
+        return;
+    }
+    const std::chrono::duration<double> span{until - this->expected_until};
+    const double units = this->elsewhere_pace * span.count();
+    this->bucket.take(now, units);
+    this->expected += units;
+    this->expected_until = until;
+}
+
+void fleet_quota::account::heard_elsewhere(double step, monotonic_time now)
+{
+    this->expect_elsewhere(now);
+    this->bucket.take(now, step - this->expected);
+    const std::chrono::duration<double> span{now - this->elsewhere_at};
+    if (span.count() > 0.0) {
+        const double pace = std::max(0.0, step) / span.count();
+        this->elsewhere_pace += pace_weight * (pace - this->elsewhere_pace);
+    }
+    this->expected = 0.0;
+    this->elsewhere_at = now;
+    this->expected_until = now;
+}
+
+// Another node that speaks for a group has added up a little less or more than the one before it.
+// What is beyond a usual step is the difference of the two, not what was admitted meanwhile.
+void fleet_quota::heard_elsewhere(const compact_units& admitted, monotonic_time now)
+{
+    for (auto& [id, known] : this->accounts) {
+        const auto told = admitted.find(key_of(id));
+        if (told == admitted.end()) {
+            continue;
+        }
+        const auto [before, is_first] = this->elsewhere.try_emplace(told->first, told->second);
+        const double step = told->second - before->second;
+        before->second = told->second;
+        const double usual = known.whole_burst + known.rate;
+        if (!is_first) {
+            known.heard_elsewhere(std::clamp(step, std::abs(step) > usual ? 0.0 : -usual, usual),
+                                  now);
+        }
+    }
 }
 
 void fleet_quota::heard(const node_id& node, std::uint64_t incarnation,
@@ -92,6 +209,7 @@
     }
     for (const auto& [id, total] : admitted) {
         double& before = last.admitted[id];
+        this->peer_sums[id] += total - before;
         if (const auto found = this->accounts.find(id); found != this->accounts.end()) {
             found->second.bucket.take(now, total - before);
         }
--- a/lib/placement/load_model.cpp
+++ b/lib/placement/load_model.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassbend/placement/load_model.h"
 
+#include "eelgrassbend/support/hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -143,6 +145,33 @@
     known = std::move(work);
 }
 
+endpoint_key key_of(const endpoint_id& endpoint)
+{
+    return static_cast<endpoint_key>(stable_hash(endpoint.value()));
+}
+
+compact_work load_model::group_work() const
+{
+    compact_work work;
+    for (const auto& [endpoint, state] : this->endpoints) {
+        if (state.own != endpoint_work{}) {
+            work[key_of(endpoint)] += state.own;
+        }
+    }
+    for (const auto& [endpoint, sum] : this->peer_sums) {
+        work[key_of(endpoint)] += sum;
+    }
+    return work;
+}
+
+void load_model::work_elsewhere(std::uint64_t from, std::uint64_t to, const compact_work& work)
+{
+    std::erase_if(this->elsewhere, [&](const auto& entry) {
+        return entry.first >= from && static_cast<std::uint64_t>(entry.first) < to;
+    });
+    this->elsewhere.insert(work.begin(), work.end());
+}
+
 void load_model::forget_peer(const node_id& node)
 {
     if (this->peers.contains(node)) {
@@ -183,6 +212,12 @@
     if (const auto told = this->peer_sums.find(endpoint); told != this->peer_sums.end()) {
         sum += told->second;
     }
+    if (!this->elsewhere.empty()) {
+        const auto told = this->elsewhere.find(key_of(endpoint));
+        if (told != this->elsewhere.end()) {
+            sum += told->second;
+        }
+    }
     return sum;
 }
 
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -11,6 +11,9 @@
 /// two heartbeats of an endpoint, rounded up.
 static constexpr std::chrono::milliseconds rewrite_time{2000};
 
+/// How often a node that hears from another one looks whether it has to read itself.
+static constexpr std::chrono::milliseconds relay_check{200};
+
 keyed_follower::keyed_follower(record_store& store, scheduler& time, random_source& random,
                                event_log& log, topic_relay& relay, store_topic topic,
                                follower_settings settings, keyed_observer& observer)
@@ -98,7 +101,9 @@
 void keyed_follower::read_log()
 {
     const auto asked = this->time.now();
-    this->store.read(this->topic, *this->next, this->settings.longest_wait,
+    const auto wait =
+        std::exchange(this->was_relayed, false) ? duration{} : this->settings.longest_wait;
+    this->store.read(this->topic, *this->next, wait,
                      this->scope.guard([this, asked](const result<store_page>& page) {
                          this->log_read(asked, page);
                      }));
@@ -159,7 +164,8 @@
         this->read_log();
         return;
     }
-    this->run_after(wait, &keyed_follower::read_on);
+    this->was_relayed = true;
+    this->run_after(std::min<duration>(wait, relay_check), &keyed_follower::read_on);
 }
 
 void keyed_follower::heard(const topic_position& position, std::optional<monotonic_time> as_of)
--- a/proto/fleet.capnp
+++ b/proto/fleet.capnp
@@ -41,6 +41,42 @@
   changes @5 :List(TopicChange);
 }
 
+struct LeavingEndpoint {
+  endpoint @0 :Text;
+  started @1 :Int64;
+}
+
+struct CompactWork {
+  endpoint @0 :UInt32;       # hash of the name
+  requests @1 :Int32;
+  waitingPrompt @2 :Int64;   # tokens
+  memory @3 :Int64;          # tokens
+}
+
+struct CompactUnits {
+  organisation @0 :UInt32;   # hash of the name
+  units @1 :Float64;
+}
+
+struct Address {
+  ip @0 :Text;
+  port @1 :UInt16;
+}
+
+struct GroupSummary {
+  group @0 :Text;            # empty: all groups but the receiver's
+  heard @1 :UInt32;
+  serving @2 :UInt32;
+  holder @3 :Address;        # of the duties; no port: not known
+  hasWork @4 :Bool;          # else the range and `work` say nothing
+  workFrom @5 :UInt64;
+  workTo @6 :UInt64;
+  work @7 :List(CompactWork);
+  admitted @8 :List(CompactUnits);
+  ready @9 :List(Address);
+  usage @10 :List(UsageWindow);
+}
+
 struct NodeDigest {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -62,4 +98,7 @@
   echoIncarnation @17 :UInt64;  # of the newest digest from the receiver; 0: none
   echoSequence @18 :UInt64;
   positions @19 :List(TopicPosition);
+  positionsFrom @20 :Text;   # group of the node that read them
+  leavingEndpoints @21 :List(LeavingEndpoint);
+  summary @22 :GroupSummary; # may be missing
 }
--- a/unittests/fleet/fleet_view_test.cpp
+++ b/unittests/fleet/fleet_view_test.cpp
@@ -50,21 +50,24 @@
 {
     fleet_view fleet{node_id{"1"}};
     const monotonic_time now{seconds{1}};
-    BOOST_TEST(fleet.heard_share(now) == 1.0);
+    BOOST_TEST(fleet.counts(now).heard == 1U);
+    BOOST_TEST(fleet.counts(now).serving == 1U);
     fleet.heard(digest_of("2", 1), now);
     fleet.heard(digest_of("3", 1), now);
     fleet.heard(digest_of("4", 1), now);
     fleet.heard(digest_of("4", 2), now + seconds{3});
-    BOOST_TEST(fleet.heard_share(now + seconds{3}) == 0.5);
-    BOOST_TEST(fleet.heard_share(now + seconds{30}) == 1.0);
+    BOOST_TEST(fleet.counts(now + seconds{3}).heard == 2U);
+    BOOST_TEST(fleet.counts(now + seconds{3}).serving == 4U);
+    BOOST_TEST(fleet.counts(now + seconds{30}).heard == 1U);
+    BOOST_TEST(fleet.counts(now + seconds{30}).serving == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(silent_nodes_are_addressed_by_their_records)
 {
     fleet_view fleet{node_id{"1"}};
     const monotonic_time now{seconds{1}};
-    fleet.add_record({node_id{"1"}, {"10.0.0.1", 7600}});
-    fleet.add_record({node_id{"2"}, {"10.0.0.2", 7600}});
+    fleet.add_record({node_id{"1"}, {"10.0.0.1", 7600}, {}});
+    fleet.add_record({node_id{"2"}, {"10.0.0.2", 7600}, {}});
     BOOST_TEST(fleet.receivers(now, false).empty());
     BOOST_TEST(fleet.receivers(now, true).size() == 1U);
     fleet.remove_record(node_id{"2"});
--- a/unittests/gateway/gateway_fleet.h
+++ b/unittests/gateway/gateway_fleet.h
@@ -20,13 +20,14 @@
 /// One gateway with fakes for all that is outside.
 struct gateway_node {
     gateway_node(virtual_scheduler& time, fakes::fake_store_logs& logs,
-                 fakes::fake_network& network, int number)
-        : random(static_cast<std::uint64_t>(number)),
+                 fakes::fake_network& network, int number, int zones = 1)
+        : settings(settings_for(number, zones)),
+          random(static_cast<std::uint64_t>(number)),
           store(logs, time),
           datagrams(network, address(number, 7600)),
           node({time, random, log, counters, store, datagrams, client, duties, mover, protocol,
                 declared},
-               settings_for(number))
+               this->settings)
     {
         this->node.start();
     }
@@ -36,11 +37,11 @@
         return {"10.0.0." + std::to_string(number), port};
     }
 
-    static gateway_settings settings_for(int number)
+    static gateway_settings settings_for(int number, int zones)
     {
         gateway_settings settings;
         settings.node = node_id{"front-" + std::to_string(number)};
-        settings.zone = availability_zone{"a"};
+        settings.zone = availability_zone{std::string(1, static_cast<char>('a' + number % zones))};
         settings.callers = address(number, 8080);
         settings.datagrams = address(number, 7600);
         settings.cloud = network_address{"10.0.1.1", 80};
@@ -58,6 +59,7 @@
         return answer;
     }
 
+    gateway_settings settings;
     seeded_random random;
     fake_event_log log;
     fake_metrics counters;
@@ -73,13 +75,13 @@
 
 /// Several gateways on one store and network.
 struct gateway_fleet {
-    explicit gateway_fleet(int count)
+    explicit gateway_fleet(int count, int zones = 1)
     {
         this->configure(1, "k-1");
         this->write_endpoint("i-1", "ready");
         for (int number = 1; number <= count; ++number) {
-            this->nodes.push_back(
-                std::make_unique<gateway_node>(this->time, this->logs, this->network, number));
+            this->nodes.push_back(std::make_unique<gateway_node>(this->time, this->logs,
+                                                                 this->network, number, zones));
         }
         this->time.run_for(std::chrono::seconds{10});
     }
