Order engines by the work that is asked for

Cause: the plan had one engine for five requests under way. On-demand engines that ran were ordered away in one zone and anew in a cheaper one, and nothing was ordered until all engines had registered.

Ruled out: a cap on the number of requests under way; it does not know the load either.

Change: demand_board adds up the engine time that callers ask for, whether they find room or not; digests and summaries carry the totals. The figures of an engine's work stand once, in engine_model. On-demand engines stay where they run; more of them fill in only where the platform has said that it has no reclaimable ones; reclaimable ones are ordered before the others are known. peer_totals serves quotas and demand.

--- a/include/eelgrassbend/duties/scaler.h
+++ b/include/eelgrassbend/duties/scaler.h
@@ -5,8 +5,8 @@
 #include "eelgrassbend/duties/duty_lease.h"
 #include "eelgrassbend/duties/scaling_plan.h"
 #include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/placement/demand_board.h"
 #include "eelgrassbend/placement/endpoint_table.h"
-#include "eelgrassbend/placement/load_model.h"
 #include "eelgrassbend/routes/route_table.h"
 #include "eelgrassbend/support/callback_scope.h"
 #include "eelgrassbend/support/repeating_timer.h"
@@ -23,7 +23,7 @@
 class scaler {
 public:
     scaler(scheduler& time, event_log& log, duty_lease& lease, const endpoint_table& endpoints,
-           const load_model& loads, duty_calls& calls);
+           const demand_board& demand, duty_calls& calls);
 
     void start();
 
@@ -42,6 +42,8 @@
     };
 
     void tick();
+    /// Whether the endpoints that there are have registered.
+    [[nodiscard]] bool is_settled() const;
     void plan_service(const routed_service& service, fencing_token token);
     void send(const scaling_order& order, fencing_token token);
     void answered(const scaling_order& order, fencing_token token, const result<void>& answer);
@@ -52,7 +54,7 @@
     event_log& log;
     duty_lease& lease;
     const endpoint_table& endpoints;
-    const load_model& loads;
+    const demand_board& demand;
     duty_calls& calls;
     std::shared_ptr<const route_table> table;
     std::optional<monotonic_time> table_since; ///< arrival of the first one
@@ -62,7 +64,9 @@
 
     /// What is known of the load of a service.
     struct load_state {
-        double requests = 0.0;                    ///< under way, smoothed
+        double total = 0.0; ///< of the demand, at the last look
+        std::optional<monotonic_time> looked_at;
+        double engines = 0.0;                     ///< that the demand keeps busy, smoothed
         std::size_t provisioned = 0;              ///< endpoints before anything was ordered
         std::optional<monotonic_time> busy_since; ///< when requests first came
     };
--- a/include/eelgrassbend/duties/scaling_plan.h
+++ b/include/eelgrassbend/duties/scaling_plan.h
@@ -13,14 +13,16 @@
 struct zone_endpoints {
     int on_demand = 0;
     int reclaimable = 0;
+    bool is_sold_out =
+        false; ///< more reclaimable ones were asked for lately, and none were to be had
 };
 
 /// What a plan for one service rests on.
 struct scaling_input {
     service_id service;
     scaling_limits limits;
-    double concurrency = 0.0; ///< requests under way on all endpoints, smoothed
-    int least_total = 0;      ///< endpoints to keep while the load is not known
+    double busy_engines = 0.0; ///< that the work which callers ask for keeps busy, smoothed
+    int least_total = 0;       ///< endpoints to keep while the load is not known
     std::map<availability_zone, zone_endpoints> zones;
 };
 
--- a/include/eelgrassbend/fleet/group_summary.h
+++ b/include/eelgrassbend/fleet/group_summary.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/duties/usage_board.h"
 #include "eelgrassbend/fleet/fleet_groups.h"
 #include "eelgrassbend/limits/fleet_quota.h"
+#include "eelgrassbend/placement/demand_board.h"
 #include "eelgrassbend/placement/load_model.h"
 
 #include <cstdint>
@@ -29,6 +30,7 @@
     std::optional<network_address> duty_holder; ///< where the holder of the duties hears digests
     std::optional<work_range> work;
     compact_units admitted;             ///< units that its nodes have admitted; running totals
+    service_demand demand;              ///< running totals
     std::vector<network_address> ready; ///< some of the nodes that take new callers
     std::map<usage_window, usage_counts> usage;
 };
--- a/include/eelgrassbend/fleet/node_digest.h
+++ b/include/eelgrassbend/fleet/node_digest.h
@@ -44,6 +44,7 @@
     std::map<organisation_id, double> admitted; ///< quota units since its start
     std::map<usage_window, usage_counts> usage; ///< of the newest windows
     bool reads_store = false;                   ///< its last calls to the store succeeded
+    service_demand demand;                      ///< that callers asked of it since its start
     std::optional<digest_number> echo;          ///< newest digest heard from the receiver
     std::vector<topic_position> positions;      ///< read in the store for the receiver
     group_id positions_from;                    ///< group of the node that read them
--- a/include/eelgrassbend/gateway/group_exchange.h
+++ b/include/eelgrassbend/gateway/group_exchange.h
@@ -12,14 +12,24 @@
 
 namespace eelgrassbend {
 
+/// What digests are made of and worked into; all outlive the node's presence.
+struct fleet_models {
+    fleet_view& fleet;
+    load_model& loads;
+    endpoint_table& endpoints;
+    fleet_quota& quotas;
+    retry_budget& retries;
+    usage_board& usage;
+    demand_board& demand;
+};
+
 /// What the groups of a large fleet tell each other. One node of each, its representative, sends
 /// the sums of its group to the other representatives and passes theirs on to its own group, so
 /// that a node's work grows with the size of its group and not of the fleet. In an undivided fleet
 /// it does nothing.
 class group_exchange {
 public:
-    group_exchange(fleet_view& fleet, load_model& loads, fleet_quota& quotas, retry_budget& retries,
-                   usage_board& usage, random_source& random);
+    group_exchange(const fleet_models& models, random_source& random);
 
     void heard(const node_digest& told, monotonic_time now);
     /// Works in what is known of the other groups, and forgets what is too old.
@@ -50,6 +60,7 @@
         std::optional<network_address> duty_holder;
         compact_work work;
         compact_units admitted;
+        service_demand demand;
         std::vector<network_address> ready;
         monotonic_time at;
     };
@@ -58,15 +69,13 @@
     [[nodiscard]] other_groups merge(monotonic_time now) const;
     void set_counts(monotonic_time now);
 
-    fleet_view& fleet;
-    load_model& loads;
-    fleet_quota& quotas;
-    retry_budget& retries;
-    usage_board& usage;
+    fleet_models models;
     random_source& random;
     std::map<group_id, other_groups> groups; ///< by their representatives
     std::optional<other_groups> elsewhere;   ///< all other groups together
-    std::size_t tries = 0;                   ///< rounds of looking for representatives
+    bool has_news = false;                   ///< totals were heard since they were worked in
+    std::optional<monotonic_time> speaks_since;
+    std::size_t tries = 0; ///< rounds of looking for representatives
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -36,16 +36,6 @@
     event_log& log;
 };
 
-/// What digests are made of and worked into; all outlive the node's presence.
-struct fleet_models {
-    fleet_view& fleet;
-    load_model& loads;
-    endpoint_table& endpoints;
-    fleet_quota& quotas;
-    retry_budget& retries;
-    usage_board& usage;
-};
-
 /// Makes this node known to the others: by a record in the store, written once, and by digests
 /// sent to them directly. Takes their digests.
 class node_presence : public keyed_observer, public duty_candidates, public digest_source {
@@ -95,6 +85,7 @@
     void send_usage();
     void send_summary(const group_summary& whole, const std::vector<network_address>& receivers);
     void speak_for_group();
+    void tell_group(const std::vector<network_address>& receivers);
     void send(const node_digest& digest, const std::vector<network_address>& receivers);
     void receive(const std::string& bytes);
     /// Where the holder of the duties hears digests, if it is in this group.
--- a/include/eelgrassbend/limits/fleet_quota.h
+++ b/include/eelgrassbend/limits/fleet_quota.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/limits/token_bucket.h"
 #include "eelgrassbend/routes/routing_configuration.h"
 #include "eelgrassbend/support/ids.h"
+#include "eelgrassbend/support/peer_totals.h"
 
 #include <map>
 #include <optional>
@@ -31,9 +32,6 @@
     /// Share of the serving nodes that this one hears, above 0 and at most 1.
     void set_heard_share(double share, monotonic_time now);
 
-    /// Number of groups that hear of each other later than the nodes within one.
-    void set_group_count(std::size_t count, monotonic_time now);
-
     /// Takes `units` and answers nothing, or answers when it is worth asking again.
     std::optional<duration> admit(const organisation_id& id, double units, monotonic_time now);
     /// The request was refused after all and has not run.
@@ -63,22 +61,15 @@
         void heard_elsewhere(double step, monotonic_time now);
 
         double rate = 0.0;
-        double whole_burst = 0.0; ///< of all groups
-        double burst = 0.0;       ///< of the own group
+        double burst = 0.0;
         token_bucket bucket;
         double elsewhere_pace = 0.0; ///< units a second that other groups admit
         double expected = 0.0;       ///< units taken for that since they were heard
+        monotonic_time since;        ///< this node counts
         monotonic_time elsewhere_at;
         monotonic_time expected_until;
     };
 
-    void adjust(account& known, monotonic_time now) const;
-
-    struct peer_totals {
-        std::uint64_t incarnation = 0;
-        std::map<organisation_id, double> admitted;
-    };
-
     /// What this node has admitted for an organisation.
     struct own_total {
         double units = 0.0;
@@ -89,13 +80,11 @@
 
     duration window;
     double share = 1.0;
-    std::size_t groups = 1;
     bool is_urgent = false;
     std::map<organisation_id, double> since_digest;
     std::map<organisation_id, account> accounts;
     std::map<organisation_id, own_total> totals;
-    std::map<node_id, peer_totals> peers;
-    std::map<organisation_id, double> peer_sums; ///< over all incarnations of `peers`
+    peer_totals<organisation_id> peers;
     compact_units elsewhere;
     std::uint64_t digests = 0;
 };
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -110,6 +110,7 @@
     void give_up(int status, const error& reason);
     void deliver();
     void count_usage();
+    void count_demand(const placement_answer& found);
     void close(const char* outcome);
     /// Takes `step` after `delay` unless the flow has ended; replaces what `timer` was set for.
     void run_after(duration delay, std::optional<timer_id> forward_flow::* timer,
@@ -141,6 +142,7 @@
     bool may_have_run = false;
     bool is_new_run = true; ///< the current attempt begins with the first event
     bool usage_counted = false;
+    bool demand_counted = false;
     bool stream_started = false;
     bool open = true;
 };
--- a/lib/duties/scaler.cpp
+++ b/lib/duties/scaler.cpp
@@ -15,20 +15,20 @@
 static constexpr std::chrono::seconds settling_time{3};
 /// Until the load has been seen for so long, as many endpoints are kept as there were.
 static constexpr std::chrono::seconds learning_time{12};
-/// More requests under way than this, and the load has begun.
-static constexpr double busy_requests = 1.0;
+/// More engines kept busy than this, and the load has begun.
+static constexpr double busy_engines = 0.1;
 /// An order that shows no effect is given again after this time beyond the boot time.
 static constexpr std::chrono::seconds repeat_margin{3};
 /// After the platform had none of a kind, it is asked again after this time.
 static constexpr std::chrono::milliseconds unavailable_pause{2500};
 
 scaler::scaler(scheduler& time, event_log& log, duty_lease& lease, const endpoint_table& endpoints,
-               const load_model& loads, duty_calls& calls)
+               const demand_board& demand, duty_calls& calls)
     : time(time),
       log(log),
       lease(lease),
       endpoints(endpoints),
-      loads(loads),
+      demand(demand),
       calls(calls),
       timer(time, tick_time)
 {
@@ -52,7 +52,6 @@
     if (!this->table) {
         return;
     }
-    const bool is_settled = this->time.now() - *this->table_since >= settling_time;
     const auto token = this->lease.token();
     for (const auto& service : this->table->configuration().services) {
         if (!service.scaling) {
@@ -60,30 +59,39 @@
         }
         // The average goes on without the lease, so that a new holder knows the load.
         this->watch_load(service);
-        if (token && is_settled) {
+        if (token) {
             this->plan_service(service, *token);
         }
     }
 }
 
+bool scaler::is_settled() const
+{
+    return this->table_since && this->time.now() - *this->table_since >= settling_time;
+}
+
 void scaler::watch_load(const routed_service& service)
 {
-    double requests = 0.0;
-    std::size_t endpoint_count = 0;
-    for (const auto& [id, known] : this->endpoints.all()) {
-        if (known.record.service == service.id) {
-            requests += this->loads.total(id).requests;
-            ++endpoint_count;
-        }
-    }
+    const auto now = this->time.now();
     auto& state = this->load[service.id];
-    const double weight = requests > state.requests ? rising_weight : falling_weight;
-    state.requests += weight * (requests - state.requests);
-    if (this->orders.empty()) {
+    const double total = this->demand.total(service.id);
+    if (state.looked_at) {
+        const std::chrono::duration<double> span{now - *state.looked_at};
+        const double engines = (total - state.total) / span.count();
+        const double weight = engines > state.engines ? rising_weight : falling_weight;
+        state.engines += weight * (engines - state.engines);
+    }
+    state.total = total;
+    state.looked_at = now;
+    if (!this->is_settled() || this->orders.empty()) {
+        std::size_t endpoint_count = 0;
+        for (const auto& [id, known] : this->endpoints.all()) {
+            endpoint_count += known.record.service == service.id ? 1 : 0;
+        }
         state.provisioned = std::max(state.provisioned, endpoint_count);
     }
-    if (!state.busy_since && state.requests > busy_requests) {
-        state.busy_since = this->time.now();
+    if (!state.busy_since && state.engines > busy_engines) {
+        state.busy_since = now;
     }
 }
 
@@ -93,7 +101,7 @@
     input.service = service.id;
     input.limits = *service.scaling;
     const auto& state = this->load.at(service.id);
-    input.concurrency = state.requests;
+    input.busy_engines = state.engines;
     if (!state.busy_since || this->time.now() - *state.busy_since < learning_time) {
         input.least_total = static_cast<int>(state.provisioned);
     }
@@ -107,6 +115,12 @@
         auto& counts = input.zones[known.record.zone];
         ++(known.record.is_reclaimable ? counts.reclaimable : counts.on_demand);
     }
+    for (const auto& [ordered, order] : this->orders) {
+        const auto& [id, zone, is_reclaimable] = ordered;
+        if (id == service.id && is_reclaimable && order.unavailable_since) {
+            input.zones[zone].is_sold_out = true;
+        }
+    }
     return input;
 }
 
@@ -115,11 +129,15 @@
     const auto input = this->observe(service);
     const auto now = this->time.now();
     for (const auto& order : plan_scaling(input)) {
+        const auto& counts = input.zones.at(order.zone);
+        const int present = order.is_reclaimable ? counts.reclaimable : counts.on_demand;
+        // Endpoints that have not registered yet must not be ordered away.
+        if (!this->is_settled() && (!order.is_reclaimable || order.count <= present)) {
+            continue;
+        }
         const auto found = this->orders.find({order.service, order.zone, order.is_reclaimable});
         if (found != this->orders.end()) {
             const auto& state = found->second;
-            const auto& counts = input.zones.at(order.zone);
-            const int present = order.is_reclaimable ? counts.reclaimable : counts.on_demand;
             const bool is_new = state.count != order.count || state.token != token;
             const bool has_failed =
                 present != order.count &&
--- a/lib/duties/scaling_plan.cpp
+++ b/lib/duties/scaling_plan.cpp
@@ -6,15 +6,16 @@
 
 namespace eelgrassbend {
 
-/// Requests under way for which one engine is planned; with more, the prompts of some delay the
-/// first tokens of others beyond their objective.
-static constexpr double requests_per_endpoint = 5.0;
+/// Part of an engine's time that is planned for; with more, prompts wait behind others beyond their
+/// objective.
+static constexpr double planned_use = 0.7;
 /// Reclaimable endpoints kept in each zone, whatever the load: a burst is there before a new one
 /// has started.
 static constexpr int least_reclaimable = 3;
 /// Part of the need below which on-demand endpoints fill in for lost reclaimable ones. They cost
-/// several times as much, and start about when the others come back.
+/// several times as much, and start about when the others come back, unless none are to be had.
 static constexpr double filled_part = 0.4;
+static constexpr double filled_part_sold_out = 0.8;
 
 /// Zones from the cheapest to the dearest; those without a price come first.
 static std::vector<availability_zone> by_price(const scaling_input& input)
@@ -36,7 +37,7 @@
 /// Endpoints that the load needs in all.
 static int needed_endpoints(const scaling_input& input)
 {
-    return static_cast<int>(std::ceil(input.concurrency / requests_per_endpoint)) + 1;
+    return static_cast<int>(std::ceil(input.busy_engines / planned_use)) + 1;
 }
 
 /// On-demand endpoints that are needed in all. Where there are no reclaimable ones at all, not yet
@@ -44,13 +45,39 @@
 static int missing_endpoints(const scaling_input& input, int needed)
 {
     int present = 0;
+    bool is_sold_out = false;
     for (const auto& [zone, counts] : input.zones) {
         present += counts.reclaimable;
+        is_sold_out = is_sold_out || counts.is_sold_out;
     }
     if (present == 0) {
         return std::max(needed, input.least_total);
     }
-    return std::max(0, static_cast<int>(std::ceil(filled_part * needed)) - present);
+    const double part = is_sold_out ? filled_part_sold_out : filled_part;
+    return std::max(0, static_cast<int>(std::ceil(part * needed)) - present);
+}
+
+/// On-demand endpoints of each zone. Those that run stay, since new ones are paid for while they
+/// start; the rest goes where it is cheapest.
+static std::map<availability_zone, int>
+spread_on_demand(const scaling_input& input, const std::vector<availability_zone>& zones,
+                 int missing)
+{
+    std::map<availability_zone, int> orders;
+    const auto add = [&](const availability_zone& zone, int wanted) {
+        // A zone has room for a limited number of both kinds together.
+        const int room = input.limits.most - input.zones.at(zone).reclaimable - orders[zone];
+        const int added = std::clamp(std::min(wanted, missing), 0, std::max(0, room));
+        orders[zone] += added;
+        missing -= added;
+    };
+    for (const auto& zone : zones) {
+        add(zone, input.zones.at(zone).on_demand);
+    }
+    for (const auto& zone : zones) {
+        add(zone, missing);
+    }
+    return orders;
 }
 
 std::vector<scaling_order> plan_scaling(const scaling_input& input)
@@ -67,18 +94,14 @@
     const int at_first = (input.least_total + zone_count - 1) / zone_count;
     const int each = std::clamp(std::max(without_a_zone, at_first), least_reclaimable,
                                 std::max(input.limits.most, least_reclaimable));
-    int missing = missing_endpoints(input, needed);
+    const auto on_demand = spread_on_demand(input, zones, missing_endpoints(input, needed));
     std::vector<scaling_order> orders;
     for (const auto& zone : zones) {
-        const auto& counts = input.zones.at(zone);
-        // A zone has room for a limited number of both kinds together.
-        const int room = std::max(0, input.limits.most - counts.reclaimable);
-        const int least_left = input.limits.least - counts.reclaimable;
-        const int on_demand = std::max(std::min(missing, room), least_left);
-        const int reclaimable = std::min(each, input.limits.most - on_demand);
-        missing -= std::min(missing, on_demand);
+        const int least_left = input.limits.least - input.zones.at(zone).reclaimable;
+        const int filled = std::max(on_demand.at(zone), least_left);
+        const int reclaimable = std::min(each, input.limits.most - filled);
         orders.push_back({input.service, zone, true, reclaimable});
-        orders.push_back({input.service, zone, false, on_demand});
+        orders.push_back({input.service, zone, false, filled});
     }
     return orders;
 }
--- a/lib/fleet/group_summary.cpp
+++ b/lib/fleet/group_summary.cpp
@@ -34,6 +34,7 @@
     head.heard = whole.heard;
     head.serving = whole.serving;
     head.duty_holder = whole.duty_holder;
+    head.demand = whole.demand;
     std::vector<group_summary> parts;
     if (whole.work) {
         split_work(head, *whole.work, parts);
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -19,6 +19,9 @@
 static std::size_t bytes_without_work(const node_digest& digest)
 {
     std::size_t bytes = fixed_bytes + digest.node.value().size() + digest.zone.value().size();
+    for (const auto& [service, seconds] : digest.demand) {
+        bytes += count_bytes + service.value().size();
+    }
     for (const auto& entry : digest.leaving) {
         bytes += count_bytes + entry.endpoint.value().size();
     }
@@ -93,6 +96,25 @@
     return usage;
 }
 
+static void write_demand(const service_demand& demand,
+                         capnp::List<wire::ServiceDemand>::Builder out)
+{
+    unsigned index = 0;
+    for (const auto& [service, seconds] : demand) {
+        out[index].setService(service.value());
+        out[index++].setSeconds(seconds);
+    }
+}
+
+static service_demand read_demand(capnp::List<wire::ServiceDemand>::Reader in)
+{
+    service_demand demand;
+    for (const auto entry : in) {
+        demand[service_id{to_string(entry.getService())}] = entry.getSeconds();
+    }
+    return demand;
+}
+
 static void write_address(const network_address& address, wire::Address::Builder out)
 {
     out.setIp(address.ip);
@@ -142,6 +164,7 @@
         write_address(summary.ready[index], ready[index]);
     }
     write_usage(summary.usage, out.initUsage(list_size(summary.usage)));
+    write_demand(summary.demand, out.initDemand(list_size(summary.demand)));
 }
 
 static group_summary read_summary(wire::GroupSummary::Reader in)
@@ -167,6 +190,7 @@
         summary.ready.push_back(read_address(entry));
     }
     summary.usage = read_usage(in.getUsage());
+    summary.demand = read_demand(in.getDemand());
     return summary;
 }
 
@@ -262,6 +286,7 @@
     write_usage(digest.usage, out.initUsage(list_size(digest.usage)));
     write_positions(digest, out);
     write_leaving(digest, out);
+    write_demand(digest.demand, out.initDemand(list_size(digest.demand)));
     if (digest.summary) {
         write_summary(*digest.summary, out.initSummary());
     }
@@ -291,6 +316,7 @@
         digest.admitted[organisation_id{to_string(entry.getOrganisation())}] = entry.getUnits();
     }
     digest.usage = read_usage(in.getUsage());
+    digest.demand = read_demand(in.getDemand());
     for (const auto entry : in.getLeavingEndpoints()) {
         digest.leaving.push_back({endpoint_id{to_string(entry.getEndpoint())}, entry.getStarted()});
     }
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -124,6 +124,7 @@
     fleet_quota quotas;
     retry_budget retries;
     usage_board usage;
+    demand_board demand;
     fleet_view fleet;
     byte_budget answer_memory;
     forward_services services;
@@ -155,18 +156,19 @@
       usage(node_settings.bounds.usage_window),
       fleet(node_settings.node, node_settings.zone),
       answer_memory(longest_answer, all_answers),
-      services{forward,      needs.time, needs.random, needs.log,    needs.counters, needs.protocol,
-               needs.client, endpoints,  loads,        cache,        places,         quotas,
-               retries,      usage,      needs.mover,  answer_memory},
+      services{forward,        needs.time,   needs.random, needs.log, needs.counters,
+               needs.protocol, needs.client, endpoints,    loads,     cache,
+               places,         quotas,       retries,      usage,     needs.mover,
+               answer_memory,  demand},
       front(services),
       presence(
           {needs.store, needs.datagrams, needs.time, needs.random, needs.log},
-          {fleet, loads, endpoints, quotas, retries, usage},
+          {fleet, loads, endpoints, quotas, retries, usage, demand},
           {node_settings.node, node_settings.zone, node_settings.callers, node_settings.datagrams}),
       lease(needs.store, needs.time, needs.log, presence, lease_settings(node_settings)),
       reporter(needs.store, needs.time, needs.log, lease, usage, needs.duties,
                usage_settings(node_settings)),
-      scaling(needs.time, needs.log, lease, endpoints, loads, needs.duties),
+      scaling(needs.time, needs.log, lease, endpoints, demand, needs.duties),
       configurations(
           needs.declared, needs.log,
           [this](std::shared_ptr<const route_table> table) { this->take_table(std::move(table)); },
--- a/lib/gateway/group_exchange.cpp
+++ b/lib/gateway/group_exchange.cpp
@@ -9,13 +9,14 @@
 /// Nodes of a group without a known representative that are tried: the first ones by name, and one
 /// more in turn, in case that many are gone.
 static constexpr std::size_t likely_representatives = 3;
+/// Time after which a group that has not been heard is taken to be gone.
+static constexpr std::chrono::seconds longest_incomplete{5};
 /// Addresses of callers' nodes in a summary of one group, and of all others together.
 static constexpr std::size_t ready_of_group = 12;
 static constexpr std::size_t ready_of_others = 32;
 
-group_exchange::group_exchange(fleet_view& fleet, load_model& loads, fleet_quota& quotas,
-                               retry_budget& retries, usage_board& usage, random_source& random)
-    : fleet(fleet), loads(loads), quotas(quotas), retries(retries), usage(usage), random(random)
+group_exchange::group_exchange(const fleet_models& models, random_source& random)
+    : models(models), random(random)
 {
 }
 
@@ -35,6 +36,9 @@
     for (const auto& [key, units] : told.admitted) {
         known.admitted[key] = units;
     }
+    for (const auto& [service, taken] : told.demand) {
+        known.demand[service] = taken;
+    }
     if (!told.ready.empty()) {
         known.ready = told.ready;
     }
@@ -46,19 +50,21 @@
         return;
     }
     const auto& summary = *told.summary;
-    const bool is_from_group = this->fleet.is_in_group(told);
+    const bool is_from_group = this->models.fleet.is_in_group(told);
     if (summary.group.value().empty()) {
-        if (is_from_group && !this->fleet.is_representative(now)) {
+        if (is_from_group && !this->models.fleet.is_representative(now)) {
             auto& known = this->elsewhere ? *this->elsewhere : this->elsewhere.emplace();
             take(known, summary, now);
+            this->has_news = this->has_news || !summary.admitted.empty();
         }
         return;
     }
     if (is_from_group) {
         return; // two nodes of the group speak for it for a while
     }
-    this->usage.heard_group(summary.group.value(), summary.usage);
+    this->models.usage.heard_group(summary.group.value(), summary.usage);
     take(this->groups[summary.group], summary, now);
+    this->has_news = this->has_news || !summary.admitted.empty();
 }
 
 // A group that is not heard still serves its callers, at first as far as its records tell.
@@ -66,7 +72,7 @@
 {
     other_groups merged;
     merged.at = now;
-    for (const auto& [group, records] : this->fleet.groups().others()) {
+    for (const auto& [group, records] : this->models.fleet.groups().others()) {
         const auto found = this->groups.find(group);
         if (found == this->groups.end()) {
             merged.serving += static_cast<std::uint32_t>(records.size());
@@ -76,6 +82,9 @@
         for (const auto& [key, units] : known.admitted) {
             merged.admitted[key] += units;
         }
+        for (const auto& [service, taken] : known.demand) {
+            merged.demand[service] += taken;
+        }
         if (now - known.at < node_absence) {
             merged.serving += known.serving;
         }
@@ -91,17 +100,27 @@
         }
         merged.ready.insert(merged.ready.end(), known.ready.begin(), known.ready.end());
     }
+    // Totals that lack a group would look like a step back.
+    if (this->groups.size() < this->models.fleet.groups().others().size() &&
+        now - this->speaks_since.value_or(now) < longest_incomplete) {
+        merged.admitted.clear();
+        merged.demand.clear();
+    }
     return merged;
 }
 
 void group_exchange::update(monotonic_time now)
 {
-    if (this->fleet.groups().others().empty()) {
+    if (this->models.fleet.groups().others().empty()) {
         this->elsewhere.reset();
     }
-    else if (this->fleet.is_representative(now)) {
+    else if (this->models.fleet.is_representative(now)) {
+        this->speaks_since = this->speaks_since.value_or(now);
         this->elsewhere = this->merge(now);
     }
+    else {
+        this->speaks_since.reset();
+    }
     if (this->elsewhere && now - this->elsewhere->at >= node_silence) {
         this->elsewhere->heard = 0;
         this->elsewhere->work.clear();
@@ -109,38 +128,39 @@
         this->elsewhere->duty_holder.reset();
     }
     const auto& work = this->elsewhere ? this->elsewhere->work : compact_work{};
-    this->loads.work_elsewhere(0, work_range{}.to, work);
-    if (this->elsewhere) {
-        this->quotas.heard_elsewhere(this->elsewhere->admitted, now);
+    this->models.loads.work_elsewhere(0, work_range{}.to, work);
+    if (this->elsewhere && std::exchange(this->has_news, false)) {
+        this->models.quotas.heard_elsewhere(this->elsewhere->admitted, now);
+        this->models.demand.heard_elsewhere(this->elsewhere->demand);
     }
     this->set_counts(now);
 }
 
 void group_exchange::set_counts(monotonic_time now)
 {
-    auto counted = this->fleet.counts(now);
+    auto counted = this->models.fleet.counts(now);
     const auto in_group = counted.heard;
     if (this->elsewhere) {
         counted.heard += this->elsewhere->heard;
         counted.serving += this->elsewhere->serving;
-        this->loads.set_nodes_elsewhere(this->elsewhere->serving);
-        this->retries.set_node_count(in_group + this->elsewhere->serving);
+        this->models.loads.set_nodes_elsewhere(this->elsewhere->serving);
+        this->models.retries.set_node_count(in_group + this->elsewhere->serving);
     }
     else {
-        const auto unheard = this->fleet.groups().nodes_elsewhere();
+        const auto unheard = this->models.fleet.groups().nodes_elsewhere();
         counted.serving += static_cast<std::uint32_t>(unheard);
-        this->loads.set_nodes_elsewhere(unheard);
-        this->retries.set_node_count(in_group + unheard);
+        this->models.loads.set_nodes_elsewhere(unheard);
+        this->models.retries.set_node_count(in_group + unheard);
     }
     const double share =
         static_cast<double>(counted.heard) / std::max(counted.serving, counted.heard);
-    this->quotas.set_heard_share(share, now);
-    this->quotas.set_group_count(this->fleet.groups().group_count(), now);
+    this->models.quotas.set_heard_share(share, now);
 }
 
 bool group_exchange::speaks(monotonic_time now) const
 {
-    return !this->fleet.groups().others().empty() && this->fleet.is_representative(now);
+    return !this->models.fleet.groups().others().empty() &&
+           this->models.fleet.is_representative(now);
 }
 
 group_summary group_exchange::own_summary(monotonic_time now,
@@ -148,14 +168,15 @@
                                           const std::optional<network_address>& ready) const
 {
     group_summary summary;
-    const auto counted = this->fleet.counts(now);
-    summary.group = this->fleet.groups().own();
+    const auto counted = this->models.fleet.counts(now);
+    summary.group = this->models.fleet.groups().own();
     summary.heard = counted.heard;
     summary.serving = counted.serving;
     summary.duty_holder = duty_holder;
-    summary.work = work_range{0, work_range{}.to, this->loads.group_work()};
-    summary.admitted = this->quotas.group_admitted();
-    summary.ready = this->fleet.ready_callers(now);
+    summary.work = work_range{0, work_range{}.to, this->models.loads.group_work()};
+    summary.admitted = this->models.quotas.group_admitted();
+    summary.demand = this->models.demand.group_totals();
+    summary.ready = this->models.fleet.ready_callers(now);
     if (ready) {
         summary.ready.push_back(*ready);
     }
@@ -173,6 +194,7 @@
     summary.duty_holder = merged.duty_holder;
     summary.work = work_range{0, work_range{}.to, merged.work};
     summary.admitted = merged.admitted;
+    summary.demand = merged.demand;
     summary.ready = merged.ready;
     std::shuffle(summary.ready.begin(), summary.ready.end(), this->random);
     summary.ready.resize(std::min(summary.ready.size(), ready_of_others));
@@ -183,14 +205,15 @@
 {
     std::set<network_address> addresses;
     std::set<group_id> found;
-    for (const auto* node : this->fleet.alive_elsewhere(now)) {
+    for (const auto* node : this->models.fleet.alive_elsewhere(now)) {
         if (!node->digest.is_leaving) {
             addresses.insert(node->digest.datagrams);
-            found.insert(this->fleet.groups().group_of(node->digest.node, node->digest.zone));
+            found.insert(
+                this->models.fleet.groups().group_of(node->digest.node, node->digest.zone));
         }
     }
     ++this->tries;
-    for (const auto& [group, records] : this->fleet.groups().others()) {
+    for (const auto& [group, records] : this->models.fleet.groups().others()) {
         if (found.contains(group)) {
             continue;
         }
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -37,7 +37,7 @@
     : links(links),
       models(models),
       identity(std::move(identity)),
-      groups(models.fleet, models.loads, models.quotas, models.retries, models.usage, links.random),
+      groups(models, links.random),
       positions(links.datagrams, links.time, models.fleet, *this, this->identity.node)
 {
     this->incarnation =
@@ -180,6 +180,7 @@
     auto digest = this->make_digest();
     digest.carries_load = true;
     digest.work = this->models.loads.own_work();
+    digest.demand = this->models.demand.own();
     digest.admitted = this->models.quotas.for_digest();
     digest.leaving = this->models.endpoints.told_leaving(this->links.time.now());
     this->models.quotas.digest_sent();
@@ -195,12 +196,22 @@
         }
     }
     this->send(digest, chosen);
-    const bool has_turn = this->digest_count / this->turns % summary_every == 0;
-    if (has_turn && this->groups.speaks(this->links.time.now())) {
-        this->send_summary(this->groups.summary_elsewhere(this->links.time.now()), chosen);
+    if (this->groups.speaks(this->links.time.now())) {
+        this->tell_group(chosen);
     }
 }
 
+// Units admitted elsewhere are told each time, since quotas depend on them; the rest less often.
+void node_presence::tell_group(const std::vector<network_address>& receivers)
+{
+    auto summary = this->groups.summary_elsewhere(this->links.time.now());
+    if (this->digest_count / this->turns % summary_every != 0) {
+        summary.work.reset();
+        summary.ready.clear();
+    }
+    this->send_summary(summary, receivers);
+}
+
 void node_presence::send_summary(const group_summary& whole,
                                  const std::vector<network_address>& receivers)
 {
@@ -283,6 +294,7 @@
         if (told.carries_load && is_newest) {
             this->models.loads.peer_work(told.node, told.work);
             this->models.quotas.heard(told.node, told.incarnation, told.admitted, now);
+            this->models.demand.heard(told.node, told.incarnation, told.demand);
         }
         this->models.usage.heard(told.node, told.incarnation, told.usage);
     }
--- a/lib/limits/fleet_quota.cpp
+++ b/lib/limits/fleet_quota.cpp
@@ -9,17 +9,19 @@
 
 /// Parts of a burst that are given out at once, and spread over the window on top of the rate. What
 /// is left covers what other nodes admit before their digests arrive.
-static constexpr double burst_at_once = 0.45;
+static constexpr double burst_at_once = 0.4;
 static constexpr double burst_spread = 0.45;
 /// Part of a burst that lets a request in, whatever its size: what it takes beyond is paid back by
 /// the rate. Otherwise large requests would wait for a full bucket while small ones empty it.
 static constexpr double admitting_part = 0.1;
 /// Digests that name an organisation after its total has changed; as many lost ones do no harm.
 static constexpr std::uint64_t digests_with_change = 6;
+/// Part of a window's units that other groups give back at most between two summaries.
+static constexpr double most_returned = 0.02;
 /// Time for which the others are expected to go on as before when nothing is heard of them.
-static constexpr std::chrono::seconds longest_expected{1};
+static constexpr std::chrono::seconds longest_expected{3};
 /// Weight of what was admitted between two summaries in the pace that is expected.
-static constexpr double pace_weight = 0.4;
+static constexpr double pace_weight = 0.15;
 /// Units of one organisation, as a part of its burst, that the others should hear of at once.
 static constexpr double urgent_part = 0.04;
 
@@ -37,11 +39,14 @@
             known = found->second;
         }
         known.rate = entry.rate + burst_spread * entry.burst / seconds.count();
-        known.whole_burst = entry.burst * burst_at_once;
-        this->adjust(known, now);
+        known.burst = entry.burst * burst_at_once;
+        known.bucket.configure(now, known.rate * this->share, known.burst);
         if (found == this->accounts.end()) {
             // What was admitted before this process started is not known, so it counts as all.
             known.bucket.take(now, known.burst);
+            known.since = now;
+            known.elsewhere_at = now;
+            known.expected_until = now;
         }
     }
     this->accounts = std::move(kept);
@@ -54,29 +59,10 @@
     }
     this->share = heard;
     for (auto& [id, known] : this->accounts) {
-        this->adjust(known, now);
+        known.bucket.configure(now, known.rate * this->share, known.burst);
     }
 }
 
-void fleet_quota::set_group_count(std::size_t count, monotonic_time now)
-{
-    if (count == this->groups) {
-        return;
-    }
-    this->groups = count;
-    for (auto& [id, known] : this->accounts) {
-        this->adjust(known, now);
-    }
-}
-
-// Groups hear of each other late, so a burst that all of them see may be taken by each: each group
-// has a part of it.
-void fleet_quota::adjust(account& known, monotonic_time now) const
-{
-    known.burst = known.whole_burst / static_cast<double>(this->groups);
-    known.bucket.configure(now, known.rate * this->share, known.burst);
-}
-
 std::optional<duration> fleet_quota::admit(const organisation_id& id, double units,
                                            monotonic_time now)
 {
@@ -146,7 +132,7 @@
     for (const auto& [id, total] : this->totals) {
         sums[key_of(id)] += total.units;
     }
-    for (const auto& [id, units] : this->peer_sums) {
+    for (const auto& [id, units] : this->peers.sums()) {
         sums[key_of(id)] += units;
     }
     return sums;
@@ -181,39 +167,37 @@
 }
 
 // Another node that speaks for a group has added up a little less or more than the one before it.
-// What is beyond a usual step is the difference of the two, not what was admitted meanwhile.
+// What is beyond a usual step is the difference of the two, not what was admitted meanwhile; steps
+// back within it are requests that were refused after all.
 void fleet_quota::heard_elsewhere(const compact_units& admitted, monotonic_time now)
 {
+    const std::chrono::duration<double> seconds{this->window};
     for (auto& [id, known] : this->accounts) {
         const auto told = admitted.find(key_of(id));
         if (told == admitted.end()) {
             continue;
         }
-        const auto [before, is_first] = this->elsewhere.try_emplace(told->first, told->second);
+        const auto [before, is_first] = this->elsewhere.try_emplace(told->first, 0.0);
         const double step = told->second - before->second;
         before->second = told->second;
-        const double usual = known.whole_burst + known.rate;
-        if (!is_first) {
-            known.heard_elsewhere(std::clamp(step, std::abs(step) > usual ? 0.0 : -usual, usual),
-                                  now);
+        const double most = known.burst + known.rate * seconds.count();
+        if (is_first) {
+            // What was admitted before this node began to count is charged to nobody.
+            const std::chrono::duration<double> counted{now - known.since};
+            known.heard_elsewhere(std::min(step, known.rate * counted.count()), now);
+            continue;
         }
+        known.heard_elsewhere(step < -most_returned * most ? 0.0 : std::min(step, most), now);
     }
 }
 
 void fleet_quota::heard(const node_id& node, std::uint64_t incarnation,
                         const std::map<organisation_id, double>& admitted, monotonic_time now)
 {
-    auto& last = this->peers[node];
-    if (last.incarnation != incarnation) {
-        last = {incarnation, {}};
-    }
-    for (const auto& [id, total] : admitted) {
-        double& before = last.admitted[id];
-        this->peer_sums[id] += total - before;
+    for (const auto& [id, step] : this->peers.heard(node, incarnation, admitted)) {
         if (const auto found = this->accounts.find(id); found != this->accounts.end()) {
-            found->second.bucket.take(now, total - before);
+            found->second.bucket.take(now, step);
         }
-        before = total;
     }
 }
 
--- a/lib/placement/placer.cpp
+++ b/lib/placement/placer.cpp
@@ -1,5 +1,6 @@
 #include "eelgrassbend/placement/placer.h"
 
+#include "eelgrassbend/placement/engine_model.h"
 #include "eelgrassbend/support/hash.h"
 
 #include <algorithm>
@@ -7,16 +8,8 @@
 
 namespace eelgrassbend {
 
-using milliseconds = std::chrono::duration<double, std::milli>;
+using engine_model::milliseconds;
 
-/// Prompt tokens that an engine reads in a millisecond, before anything is learnt of it; the pace
-/// of each engine corrects it. From the users' sheets: 56.9 with nothing else running.
-static constexpr double prompt_tokens_per_ms = 50.0;
-/// Share of the reading speed that each running request takes with its own tokens; from the
-/// sheets, 0.102 ms of a step of 18 ms that reads 1,024 tokens.
-static constexpr double slowdown_per_request = 0.0057;
-/// From a request's arrival at an idle engine to its first byte.
-static constexpr milliseconds engine_overhead{16.0};
 /// Service time of plain services before anything is learnt; the pace corrects it.
 static constexpr milliseconds plain_time{20.0};
 /// Added for another availability zone: traffic between zones is paid for.
@@ -115,11 +108,10 @@
     result.work.uncached_prompt = request.prompt_tokens - result.kept_tokens;
     result.work.memory = request.prompt_tokens + request.output_tokens;
     const auto waiting = std::max<std::int64_t>(0, load.waiting_prompt);
-    const double crowd = 1.0 + slowdown_per_request * load.requests;
-    const milliseconds per_token{crowd / prompt_tokens_per_ms};
     weighed.predicted =
-        engine_overhead + per_token * static_cast<double>(waiting + result.work.uncached_prompt);
-    weighed.wait = result.pace * per_token * static_cast<double>(waiting);
+        engine_model::overhead +
+        engine_model::reading_time(waiting + result.work.uncached_prompt, load.requests);
+    weighed.wait = result.pace * engine_model::reading_time(waiting, load.requests);
     const double planned = planned_memory * static_cast<double>(state.engine->memory.value());
     const bool has_memory = state.engine->memory.value() == 0 || load.requests == 0 ||
                             static_cast<double>(load.memory + result.work.memory) <= planned;
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -5,6 +5,7 @@
 #include "eelgrassbend/limits/retry_budget.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/metrics/metrics.h"
+#include "eelgrassbend/placement/demand_board.h"
 
 #include <nlohmann/json.hpp>
 
@@ -122,6 +123,7 @@
 {
     const auto found =
         this->services.places.choose(this->describe(), this->engine(), this->services.time.now());
+    this->count_demand(found);
     if (found.chosen) {
         this->dispatch(*found.chosen);
         return;
@@ -129,6 +131,18 @@
     this->wait_for_room(found);
 }
 
+void forward_flow::count_demand(const placement_answer& found)
+{
+    if (!this->engine() || std::exchange(this->demand_counted, true)) {
+        return;
+    }
+    const auto uncached =
+        found.chosen ? std::optional{found.chosen->work.uncached_prompt} : std::nullopt;
+    const auto wanted = this->describe();
+    this->services.demand.asked(wanted.service, wanted.prompt_tokens, uncached,
+                                wanted.output_tokens);
+}
+
 // Callers lose nothing by a refusal that comes early, and can come back while their objective can
 // still be met. A stream that has begun can only go on or be lost, so it waits.
 void forward_flow::wait_for_room(const placement_answer& found)
--- a/proto/fleet.capnp
+++ b/proto/fleet.capnp
@@ -63,6 +63,11 @@
   port @1 :UInt16;
 }
 
+struct ServiceDemand {
+  service @0 :Text;
+  seconds @1 :Float64;       # of engine time; a running total
+}
+
 struct GroupSummary {
   group @0 :Text;            # empty: all groups but the receiver's
   heard @1 :UInt32;
@@ -75,6 +80,7 @@
   admitted @8 :List(CompactUnits);
   ready @9 :List(Address);
   usage @10 :List(UsageWindow);
+  demand @11 :List(ServiceDemand);
 }
 
 struct NodeDigest {
@@ -101,4 +107,5 @@
   positionsFrom @20 :Text;   # group of the node that read them
   leavingEndpoints @21 :List(LeavingEndpoint);
   summary @22 :GroupSummary; # may be missing
+  demand @23 :List(ServiceDemand);
 }
--- a/unittests/duties/scaling_test.cpp
+++ b/unittests/duties/scaling_test.cpp
@@ -11,14 +11,15 @@
 
 using std::chrono::seconds;
 
-static scaling_input four_zones(double concurrency, int reclaimable_each)
+/// `needed`: engines that the load needs, as planned.
+static scaling_input four_zones(double needed, int reclaimable_each)
 {
     scaling_input input;
     input.service = service_id{"draft"};
     input.limits.least = 1;
     input.limits.most = 6;
     input.limits.reclaimable_price = 0.2;
-    input.concurrency = concurrency;
+    input.busy_engines = 0.7 * needed;
     for (const char* zone : {"a", "b", "c", "d"}) {
         input.limits.zone_prices[availability_zone{zone}] = 1.0;
         input.zones[availability_zone{zone}].reclaimable = reclaimable_each;
@@ -37,15 +38,15 @@
 
 BOOST_AUTO_TEST_CASE(reclaimable_endpoints_carry_the_load_without_any_one_zone)
 {
-    const auto orders = plan_scaling(four_zones(60.0, 3));
+    const auto orders = plan_scaling(four_zones(12.0, 3));
     const int all = ordered(orders, true);
-    BOOST_TEST(all - all / 4 >= 60.0 / 5.0);
+    BOOST_TEST(all - all / 4 >= 12);
     BOOST_TEST(ordered(orders, false) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(on_demand_endpoints_fill_in_for_lost_ones)
 {
-    auto input = four_zones(60.0, 3);
+    auto input = four_zones(12.0, 3);
     for (const char* zone : {"a", "b", "c"}) {
         input.zones[availability_zone{zone}].reclaimable = 0;
     }
@@ -56,8 +57,8 @@
 // A platform without reclaimable endpoints, or one whose first ones have not started yet.
 BOOST_AUTO_TEST_CASE(on_demand_endpoints_carry_everything_where_there_are_no_others)
 {
-    auto input = four_zones(60.0, 0);
-    BOOST_TEST(ordered(plan_scaling(input), false) >= 60.0 / 5.0);
+    auto input = four_zones(12.0, 0);
+    BOOST_TEST(ordered(plan_scaling(input), false) >= 12);
     input = four_zones(0.0, 0);
     input.least_total = 9;
     BOOST_TEST(ordered(plan_scaling(input), false) >= 9);
@@ -66,9 +67,9 @@
 
 BOOST_AUTO_TEST_CASE(bounds_of_a_zone_hold_for_both_kinds_together)
 {
-    for (const double concurrency : {0.0, 50.0, 500.0, 5000.0}) {
+    for (const double needed : {0.0, 10.0, 100.0, 1000.0}) {
         for (const int present : {0, 2, 6}) {
-            const auto orders = plan_scaling(four_zones(concurrency, present));
+            const auto orders = plan_scaling(four_zones(needed, present));
             std::map<availability_zone, int> sums;
             for (const auto& order : orders) {
                 BOOST_TEST(order.count >= 0);
@@ -113,10 +114,10 @@
     fakes::fake_store_logs logs;
     lease_node node{this->logs, this->time, "first"};
     endpoint_table endpoints{seconds{1}};
-    const load_model loads;
+    demand_board demand;
     recording_duty_calls calls;
     scaler scaling{this->time,      this->node.log, this->node.lease,
-                   this->endpoints, this->loads,    this->calls};
+                   this->endpoints, this->demand,   this->calls};
 };
 
 } // namespace
@@ -137,6 +138,71 @@
     }
 }
 
+// Cheap ones are ordered before the others are known, so that the dear ones can go sooner.
+BOOST_FIXTURE_TEST_CASE(reclaimable_endpoints_are_ordered_at_once, scaler_fixture)
+{
+    this->node.lease.start();
+    this->time.run_for(seconds{10});
+    this->start(30);
+    this->time.run_for(seconds{1});
+    BOOST_REQUIRE(!this->calls.orders.empty());
+    for (const auto& order : this->calls.orders) {
+        BOOST_TEST(order.is_reclaimable);
+    }
+}
+
+// Callers that come back and slow engines make more requests under way, but not more work.
+BOOST_FIXTURE_TEST_CASE(engines_follow_the_work_that_is_asked_for, scaler_fixture)
+{
+    this->start(30);
+    this->node.lease.start();
+    const auto load = [&](double engines, seconds span) {
+        for (int step = 0; step < span.count() * 10; ++step) {
+            // 4,000 tokens take an engine 96 ms with the overhead.
+            for (int request = 0; request < static_cast<int>(engines); ++request) {
+                this->demand.asked(service_id{"draft"}, 4'000, 4'000, 0);
+            }
+            this->time.run_for(std::chrono::milliseconds{100});
+        }
+    };
+    const auto ordered_now = [&] {
+        int count = 0;
+        for (const auto& order : this->calls.orders) {
+            count = order.is_reclaimable ? order.count : count;
+        }
+        return count;
+    };
+    load(7.0, seconds{30});
+    BOOST_TEST(ordered_now() >= 10);
+    BOOST_TEST(ordered_now() <= 13);
+    load(1.0, seconds{60});
+    BOOST_TEST(ordered_now() <= 4);
+}
+
+BOOST_AUTO_TEST_CASE(on_demand_endpoints_stay_where_they_run)
+{
+    auto input = four_zones(0.0, 0);
+    input.least_total = 8;
+    for (auto& [zone, counts] : input.zones) {
+        counts.on_demand = 2;
+    }
+    for (const auto& order : plan_scaling(input)) {
+        BOOST_TEST((order.is_reclaimable || order.count == 2));
+    }
+}
+
+// Those that were taken come back within seconds, unless the platform has none.
+BOOST_AUTO_TEST_CASE(more_is_filled_in_where_no_reclaimable_ones_are_to_be_had)
+{
+    auto input = four_zones(12.0, 1);
+    const int usual = ordered(plan_scaling(input), false);
+    input.zones.begin()->second.is_sold_out = true;
+    const int sold_out = ordered(plan_scaling(input), false);
+    BOOST_TEST(usual <= 2);
+    BOOST_TEST(sold_out >= 6);
+    BOOST_TEST(sold_out <= 8);
+}
+
 BOOST_FIXTURE_TEST_CASE(only_the_holder_orders_and_an_order_is_given_once, scaler_fixture)
 {
     this->start(6);
--- a/unittests/gateway/divided_fleet_test.cpp
+++ b/unittests/gateway/divided_fleet_test.cpp
@@ -207,7 +207,9 @@
     std::size_t admitted = 0;
     for (int index = 0; index < 1000; ++index) {
         auto& node = *this->nodes[static_cast<std::size_t>(index) % this->nodes.size()];
-        admitted += node.send("/a/1", "r-" + std::to_string(index))->status == 429 ? 0 : 1;
+        const auto before = node.client.attempts.size();
+        node.send("/a/1", "r-" + std::to_string(index));
+        admitted += node.client.attempts.size() - before;
         this->time.run_for(milliseconds{8});
     }
     BOOST_TEST(admitted <= 198U);
@@ -223,7 +225,9 @@
             this->nodes.erase(this->nodes.begin(), this->nodes.begin() + 3);
         }
         auto& node = *this->nodes[static_cast<std::size_t>(index) % this->nodes.size()];
-        admitted += node.send("/a/1", "r-" + std::to_string(index))->status == 429 ? 0 : 1;
+        const auto before = node.client.attempts.size();
+        node.send("/a/1", "r-" + std::to_string(index));
+        admitted += node.client.attempts.size() - before;
         this->time.run_for(milliseconds{8});
     }
     BOOST_TEST(admitted <= 198U);
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/duties/usage_board.h"
 #include "eelgrassbend/limits/fleet_quota.h"
 #include "eelgrassbend/limits/retry_budget.h"
+#include "eelgrassbend/placement/demand_board.h"
 #include "eelgrassbend/serving/forward_front.h"
 #include "eelgrassbend/support/byte_budget.h"
 
@@ -229,11 +230,12 @@
     retry_budget retries{{0.2, 50.0}};
     usage_board usage{std::chrono::seconds{5}};
     fake_run_mover mover;
+    demand_board demand;
     byte_budget answer_memory{4'000, 10'000};
     forward_settings settings;
-    forward_services services{settings, time,      random, log,          counters, protocol,
-                              client,   endpoints, loads,  cache,        places,   quotas,
-                              retries,  usage,     mover,  answer_memory};
+    forward_services services{settings, time,      random, log,           counters, protocol,
+                              client,   endpoints, loads,  cache,         places,   quotas,
+                              retries,  usage,     mover,  answer_memory, demand};
     forward_front door{services};
     routing_configuration configuration;
     int sent = 0;
