Bound what peers can send that is no answer

Cause: the parser bounds headers and bodies, but chunk extensions and trailers were gathered as long as they came: within the ten seconds of a test an endpoint sent 2.3 GB of a chunk extension and 3.1 GB of trailers. An interim (1xx) answer was passed on as the final one, and the final one stayed in the connection: a store's would have been read as the answer to the next call.

Ruled out: a time limit on the head alone; a fast peer fills the memory of a small host within it.

Change: read-ahead buffers have a largest size, at endpoints, the store, the cloud API and callers. Interim answers of endpoints are passed over, a few at most; for calls to the platform they are a failure, and a connection with bytes left is not used again.

Result: unittests/net/endless_answer_test, nine kinds of answers without end from endpoints and the store, five from callers.

--- a/lib/net/asio_endpoint_client.cpp
+++ b/lib/net/asio_endpoint_client.cpp
@@ -30,14 +30,20 @@
 using boost::system::error_code;
 
 static constexpr unsigned http_1_1 = 11;
+static constexpr unsigned first_final_status = 200;
 static constexpr std::size_t read_buffer_bytes = 16 * 1024;
+/// Bytes read ahead of what the parser can take; chunk extensions and trailers are not bounded
+/// otherwise.
+static constexpr std::size_t most_unparsed = 128 * 1024;
+/// Interim (1xx) answers before the final one.
+static constexpr int most_interim = 8;
 
 namespace {
 
 /// One TCP connection to an endpoint, with the bytes read ahead.
 struct connection {
     connection(asio::io_context& context, std::uint64_t generation)
-        : stream(context), generation(generation)
+        : stream(context), buffer(most_unparsed), generation(generation)
     {
     }
 
@@ -112,6 +118,7 @@
     [[nodiscard]] duration idle_time() const;
     void finish();
     void pass_over_answer();
+    void pass_over_interim();
     void fail(errc code, const std::string& detail);
     void expect_progress();
 
@@ -127,6 +134,7 @@
     dispatch_state dispatched = dispatch_state::not_sent;
     bool is_stray = false; ///< the answer that is being read belongs to another request
     int strays = 0;
+    int interims = 0;
     std::chrono::steady_clock::time_point last_progress;
 };
 
@@ -325,6 +333,10 @@
                                     return;
                                 }
                                 const auto& head = self->parser->get();
+                                if (head.result_int() < first_final_status) {
+                                    self->pass_over_interim();
+                                    return;
+                                }
                                 self->is_stray = !self->is_answer_to_attempt();
                                 if (self->is_stray) {
                                     self->pass_over_answer();
@@ -416,6 +428,15 @@
     std::exchange(this->observer, nullptr)->completed();
 }
 
+void endpoint_attempt::pass_over_interim()
+{
+    if (++this->interims > most_interim) {
+        this->fail(errc::outcome_unknown, "too many interim answers");
+        return;
+    }
+    this->read_head();
+}
+
 // A late second answer to an earlier request comes before the one that is due.
 void endpoint_attempt::pass_over_answer()
 {
--- a/lib/net/asio_http_client.cpp
+++ b/lib/net/asio_http_client.cpp
@@ -25,11 +25,15 @@
 static constexpr std::size_t most_idle = 8;
 static constexpr std::size_t most_body_bytes = 64 * 1024 * 1024;
 static constexpr std::chrono::seconds idle_limit{10};
+/// Bytes read ahead of what the parser can take; chunk extensions and trailers are not bounded
+/// otherwise.
+static constexpr std::size_t most_unparsed = 128 * 1024;
+static constexpr unsigned first_final_status = 200;
 
 namespace {
 
 struct connection {
-    explicit connection(asio::io_context& context) : stream(context) {}
+    explicit connection(asio::io_context& context) : stream(context), buffer(most_unparsed) {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -173,7 +177,13 @@
                              return;
                          }
                          const auto& answer = self->parser->get();
-                         if (self->parser->keep_alive()) {
+                         if (answer.result_int() < first_final_status) {
+                             // Nobody asks for interim answers; the final one is not waited for.
+                             self->link->stream.close();
+                             self->fail(errc::outcome_unknown, "interim answer");
+                             return;
+                         }
+                         if (self->parser->keep_alive() && self->link->buffer.size() == 0) {
                              self->link->stream.expires_never();
                              self->pool->give_back(self->call.peer, self->link);
                          }
--- a/lib/net/http_session.cpp
+++ b/lib/net/http_session.cpp
@@ -28,12 +28,18 @@
 static constexpr std::chrono::milliseconds acknowledgement_poll{2};
 static constexpr unsigned http_1_1 = 11;
 static constexpr std::size_t first_read_bytes = 4096;
+/// Bytes read ahead of what the parser can take: the longest header that may be configured, and
+/// chunk extensions and trailers, which are not bounded otherwise.
+static constexpr std::size_t most_unparsed = 1024 * 1024;
 
 /// One connection of a caller. Requests on it are answered one after the other.
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
     http_session(asio::ip::tcp::socket socket, std::shared_ptr<session_common> common)
-        : stream(std::move(socket)), poll_timer(stream.get_executor()), common(std::move(common))
+        : stream(std::move(socket)),
+          poll_timer(stream.get_executor()),
+          common(std::move(common)),
+          buffer(most_unparsed)
     {
         boost::system::error_code ignored;
         this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
