--- a/lib/duties/scaling_plan.cpp
+++ b/lib/duties/scaling_plan.cpp
@@ -8,7 +8,7 @@
 
 /// Part of an engine's time that is planned for; with more, prompts wait behind others beyond their
 /// objective.
-static constexpr double planned_use = 0.7;
+static constexpr double planned_use = 0.6;
 /// Reclaimable endpoints kept in each zone, whatever the load: a burst is there before a new one
 /// has started.
 static constexpr int least_reclaimable = 3;
--- a/lib/gateway/group_exchange.cpp
+++ b/lib/gateway/group_exchange.cpp
@@ -53,8 +53,10 @@
     const bool is_from_group = this->models.fleet.is_in_group(told);
     if (summary.group.value().empty()) {
         if (is_from_group && !this->models.fleet.is_representative(now)) {
-            auto& known = this->elsewhere ? *this->elsewhere : this->elsewhere.emplace();
-            take(known, summary, now);
+            if (!this->elsewhere) {
+                this->elsewhere = other_groups{};
+            }
+            take(*this->elsewhere, summary, now);
             this->has_news = this->has_news || !summary.admitted.empty();
         }
         return;
--- a/unittests/duties/scaling_test.cpp
+++ b/unittests/duties/scaling_test.cpp
@@ -19,7 +19,7 @@
     input.limits.least = 1;
     input.limits.most = 6;
     input.limits.reclaimable_price = 0.2;
-    input.busy_engines = 0.7 * needed;
+    input.busy_engines = 0.6 * needed;
     for (const char* zone : {"a", "b", "c", "d"}) {
         input.limits.zone_prices[availability_zone{zone}] = 1.0;
         input.zones[availability_zone{zone}].reclaimable = reclaimable_each;
