Go on with the page that failed when newest records are read

All nodes then read some megabytes of newest records at once; a call that takes longer than 0.9 s failed, and a node began with the first page again. That this is the whole cause is not shown.

Ruled out: longer pauses after a failure; they slow down the start of a small fleet whose store was away.

Result: a_page_that_fails_is_asked_for_again_alone: 40 pages with every fifth call failing come in; before, 10 of them within 20 s and 195 calls.

--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -69,6 +69,7 @@
 
 private:
     void read_newest(const std::string& after);
+    void read_page_again();
     void newest_read(monotonic_time asked, const result<newest_page>& page);
     void newest_complete(monotonic_time asked);
     void read_log();
@@ -97,6 +98,7 @@
     std::optional<timer_id> timer;
     std::set<std::string> keys;         ///< that have a record
     std::set<std::string> seen;         ///< in the pages read so far
+    std::string page_after;             ///< key before the page that is being read
     std::optional<log_offset> snapshot; ///< end of the log at the first page
     std::optional<log_offset> next;     ///< to be read next; nothing: newest records first
     std::optional<monotonic_time> fresh;
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -53,12 +53,20 @@
 void keyed_follower::read_newest(const std::string& after)
 {
     const auto asked = this->time.now();
+    this->page_after = after;
     this->store.read_newest(this->topic, after,
                             this->scope.guard([this, asked](const result<newest_page>& page) {
                                 this->newest_read(asked, page);
                             }));
 }
 
+// What was read of the pages before stays: when many nodes start at once, a store that answers
+// slowly would otherwise be asked for all of them again and again.
+void keyed_follower::read_page_again()
+{
+    this->read_newest(this->page_after);
+}
+
 // Pages are not a snapshot: records may change between them. The log is therefore read from its
 // end as of the first page, and what it repeats is applied again.
 void keyed_follower::newest_read(monotonic_time asked, const result<newest_page>& page)
@@ -251,7 +259,7 @@
     const auto pause = part_of(0.5 + 0.5 * random_unit(this->random), this->next_retry);
     this->next_retry = std::min(2 * this->next_retry, this->settings.longest_retry_pause);
     if (!this->next) {
-        this->run_after(pause, &keyed_follower::restart);
+        this->run_after(pause, &keyed_follower::read_page_again);
         return;
     }
     // While another node reads for this one, one try now and then shows when the store is back.
--- a/unittests/store/keyed_follower_test.cpp
+++ b/unittests/store/keyed_follower_test.cpp
@@ -90,6 +90,27 @@
     BOOST_TEST(!this->observer.removed_after_gap);
 }
 
+// A store that all nodes ask at once fails now and then; the pages that came need not come again.
+BOOST_FIXTURE_TEST_CASE(a_page_that_fails_is_asked_for_again_alone, follower_fixture)
+{
+    constexpr int keys = 40;
+    this->store.page_size = 1;
+    for (int number = 0; number < keys; ++number) {
+        this->write("key-" + std::to_string(100 + number), "x");
+    }
+    this->follower.start();
+    int failures = 0;
+    for (int step = 0; step < 2000 && this->observer.confirmations == 0; ++step) {
+        const int before = this->store.calls;
+        this->store.is_down = step % 5 == 4;
+        this->time.run_for(milliseconds{10});
+        failures += this->store.is_down ? this->store.calls - before : 0;
+    }
+    BOOST_TEST(this->observer.values.size() == static_cast<std::size_t>(keys));
+    BOOST_TEST(this->observer.confirmations >= 1);
+    BOOST_TEST(this->store.calls <= keys + failures + 15);
+}
+
 BOOST_FIXTURE_TEST_CASE(many_keys_come_in_pages, follower_fixture)
 {
     this->store.page_size = 3;
