Do not charge a node that starts for what others admitted before

Cause: digests carry running totals since the start of each node. A node that started anew took the first total of each other one as admitted at that moment: after half a minute of load its buckets were tens of seconds of the rate below zero, and it refused organisations with 429 that were well within their quotas.

Ruled out: taking the first total as a mark only; a node that comes back from a cut would then miss what was admitted during it, and a group whose organisations sent nothing before would miss their first requests.

Change: of a total that is heard for the first time, no more counts than the rate allows for the time since this node counts. Two turns of usage no longer share a counter.

Result: a_node_that_starts_is_not_charged_for_the_others_past.

--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -107,6 +107,7 @@
     monotonic_time next_usage;
     monotonic_time next_summary;
     std::uint64_t usage_turn = 0;
+    std::uint64_t summary_turn = 0;
     std::uint64_t digest_count = 0;
     std::uint64_t turns = 1; ///< digests in which each node is addressed once
     std::uint64_t incarnation = 0;
--- a/include/eelgrassbend/limits/fleet_quota.h
+++ b/include/eelgrassbend/limits/fleet_quota.h
@@ -18,9 +18,9 @@
 using compact_units = std::map<organisation_key, double>;
 
 /// Holds the quotas of organisations over all entry nodes: the rate times a window plus the burst
-/// in any window. Each node charges what it admits and
-/// what the others' digests say that they admitted. A node that hears only a part of the others
-/// admits by that part of the rate, so that two sides of a partition stay within one quota.
+/// in any window. Each node charges what it admits and what the others' digests say that they
+/// admitted. A node that hears only a part of the others admits by that part of the rate, so that
+/// two sides of a partition stay within one quota.
 class fleet_quota {
 public:
     /// Organisations that a digest names beside those that admitted something lately.
@@ -57,6 +57,8 @@
 private:
     struct account {
         void expect_elsewhere(monotonic_time now);
+        /// The part of a total heard for the first time that may have been admitted since.
+        [[nodiscard]] double since_counting(double total, monotonic_time now) const;
         /// Other groups have admitted `step` units since they were heard last.
         void heard_elsewhere(double step, monotonic_time now);
 
--- a/include/eelgrassbend/support/peer_totals.h
+++ b/include/eelgrassbend/support/peer_totals.h
@@ -13,6 +13,12 @@
 template <typename Id>
 class peer_totals {
 public:
+    [[nodiscard]] bool knows(const node_id& node, std::uint64_t incarnation) const
+    {
+        const auto found = this->peers.find(node);
+        return found != this->peers.end() && found->second.incarnation == incarnation;
+    }
+
     /// What was added since the node was heard last.
     std::map<Id, double> heard(const node_id& node, std::uint64_t incarnation,
                                const std::map<Id, double>& told)
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -243,7 +243,7 @@
     digest.summary->heard = summary.heard;
     digest.summary->serving = summary.serving;
     digest.summary->duty_holder = summary.duty_holder;
-    const auto back = std::min(windows.size(), 1 + ++this->usage_turn % told_windows);
+    const auto back = std::min(windows.size(), 1 + ++this->summary_turn % told_windows);
     digest.summary->usage.insert(*std::prev(windows.end(), static_cast<std::ptrdiff_t>(back)));
     this->send(digest, receivers);
 }
--- a/lib/limits/fleet_quota.cpp
+++ b/lib/limits/fleet_quota.cpp
@@ -138,6 +138,15 @@
     return sums;
 }
 
+// Totals reach back to the start of others. What they admitted before this node began to count
+// stands in its empty bucket already; charged again, it would keep a node that starts anew from
+// admitting anything for as long as the others have been running.
+double fleet_quota::account::since_counting(double total, monotonic_time now) const
+{
+    const std::chrono::duration<double> counted{now - this->since};
+    return std::min(total, this->rate * counted.count());
+}
+
 // Between two summaries the others go on as they did.
 void fleet_quota::account::expect_elsewhere(monotonic_time now)
 {
@@ -181,22 +190,19 @@
         const double step = told->second - before->second;
         before->second = told->second;
         const double most = known.burst + known.rate * seconds.count();
-        if (is_first) {
-            // What was admitted before this node began to count is charged to nobody.
-            const std::chrono::duration<double> counted{now - known.since};
-            known.heard_elsewhere(std::min(step, known.rate * counted.count()), now);
-            continue;
-        }
-        known.heard_elsewhere(step < -most_returned * most ? 0.0 : std::min(step, most), now);
+        const double charged = step < -most_returned * most ? 0.0 : std::min(step, most);
+        known.heard_elsewhere(is_first ? known.since_counting(step, now) : charged, now);
     }
 }
 
 void fleet_quota::heard(const node_id& node, std::uint64_t incarnation,
                         const std::map<organisation_id, double>& admitted, monotonic_time now)
 {
+    const bool is_first = !this->peers.knows(node, incarnation);
     for (const auto& [id, step] : this->peers.heard(node, incarnation, admitted)) {
         if (const auto found = this->accounts.find(id); found != this->accounts.end()) {
-            found->second.bucket.take(now, step);
+            auto& known = found->second;
+            known.bucket.take(now, is_first ? known.since_counting(step, now) : step);
         }
     }
 }
--- a/unittests/limits/fleet_quota_test.cpp
+++ b/unittests/limits/fleet_quota_test.cpp
@@ -54,6 +54,27 @@
     BOOST_TEST(admitted <= 1000.0 * 8 + 2000.0 + 10.0);
 }
 
+// The others have run for an hour; a node that starts anew is as ready to admit as they are.
+BOOST_AUTO_TEST_CASE(a_node_that_starts_is_not_charged_for_the_others_past)
+{
+    const monotonic_time start{seconds{10}};
+    for (const bool in_group : {true, false}) {
+        fleet_quota quota{seconds{8}};
+        quota.configure(with_rate(1000.0, 2000.0), start);
+        const auto soon = start + milliseconds{300};
+        if (in_group) {
+            quota.heard(node_id{"2"}, 1, {{lodge, 1'800'000.0}}, soon);
+        }
+        else {
+            fleet_quota other{seconds{8}};
+            other.heard(node_id{"3"}, 1, {{lodge, 1'800'000.0}}, soon);
+            quota.heard_elsewhere(other.group_admitted(), soon);
+        }
+        BOOST_TEST(!quota.admit(lodge, 10.0, start + seconds{2}).has_value());
+        BOOST_TEST(admitted_within(quota, start + seconds{2}, seconds{8}, 10.0) <= 10'000.0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(what_other_nodes_admit_is_charged_once)
 {
     fleet_quota quota{seconds{8}};
