Keep relayed positions that come early, and confirm by whole reads only

Where a read brings more changes than one datagram holds, the second position arrived first and was dropped as a gap; the first one closed the wait for it, and confirmed the whole read, so that the node did not read for itself either. It missed four engines that the platform took back, for 2.1 s.

Ruled out: the engine's own word, which the node had not heard; the loss of the reader, which others had made good 0.4 s later.

Change: positions beyond a gap are kept and taken in order; the time for which a gap may stay open counts until all of them are in; only the last position of a read confirms it.

--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -8,6 +8,7 @@
 #include "eelgrassbend/support/random_source.h"
 #include "eelgrassbend/support/scheduler.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -68,6 +69,12 @@
     [[nodiscard]] std::optional<monotonic_time> fresh_as_of() const { return this->fresh; }
 
 private:
+    /// A position that came before the one in front of it.
+    struct early_position {
+        topic_position position;
+        std::optional<monotonic_time> as_of;
+    };
+
     void read_newest(const std::string& after);
     void read_page_again();
     void newest_read(monotonic_time asked, const result<newest_page>& page);
@@ -75,6 +82,9 @@
     void read_log();
     void log_read(monotonic_time asked, const result<store_page>& page);
     void read_on();
+    void take(const topic_position& position, std::optional<monotonic_time> as_of);
+    void read_if_behind();
+    [[nodiscard]] bool is_behind() const;
     void pass_on(monotonic_time asked);
     /// Whether it changed anything.
     bool apply(const store_record& record, bool after_gap);
@@ -106,7 +116,8 @@
     std::optional<monotonic_time> regained; ///< first success after the last failure
     duration next_retry{};
     relay_window window;
-    std::optional<monotonic_time> behind_since; ///< a position came that leaves a gap
+    std::optional<monotonic_time> behind_since; ///< what is relayed has had a gap since then
+    std::map<log_offset, early_position> early; ///< beyond the gap
     bool was_relayed = false;               ///< the next read is to tell at once what is in the log
     std::optional<monotonic_time> heard_at; ///< newest confirmation by another node
     bool failing = false;
--- a/include/eelgrassbend/store/topic_relay.h
+++ b/include/eelgrassbend/store/topic_relay.h
@@ -19,6 +19,7 @@
     log_offset to;   ///< the next offset to be read
     duration age{};  ///< since the start of the read that confirmed `to`
     bool after_gap = false;
+    bool is_end = false;               ///< nothing was read beyond `to`; else more positions follow
     std::vector<store_record> changes; ///< in [from, to); records that changed nothing are left out
 
     friend bool operator==(const topic_position&, const topic_position&) = default;
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -219,6 +219,7 @@
         entry.setAgeMicros(static_cast<std::uint64_t>(
             std::chrono::duration_cast<std::chrono::microseconds>(position.age).count()));
         entry.setAfterGap(position.after_gap);
+        entry.setIsEnd(position.is_end);
         auto changes = entry.initChanges(list_size(position.changes));
         unsigned place = 0;
         for (const auto& record : position.changes) {
@@ -240,6 +241,7 @@
     position.to = log_offset{in.getTo()};
     position.age = std::chrono::microseconds{in.getAgeMicros()};
     position.after_gap = in.getAfterGap();
+    position.is_end = in.getIsEnd();
     for (const auto change : in.getChanges()) {
         store_record record{log_offset{change.getOffset()}, to_string(change.getKey()), {}};
         if (!change.getRemoved()) {
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -11,6 +11,8 @@
 /// two heartbeats of an endpoint, rounded up.
 static constexpr std::chrono::milliseconds rewrite_time{2000};
 
+/// Positions that came before the one in front of them.
+static constexpr std::size_t most_early = 32;
 /// How often a node that hears from another one looks whether it has to read itself.
 static constexpr std::chrono::milliseconds relay_check{200};
 
@@ -132,6 +134,7 @@
         return;
     }
     this->behind_since.reset();
+    this->early.clear();
     std::vector<store_record> changes;
     for (const auto& record : page.value().records) {
         if (record.offset < *this->next) {
@@ -159,7 +162,7 @@
 // has stopped leaves a confirmation that is young for a while.
 duration keyed_follower::relayed_for() const
 {
-    if (!this->heard_at || !this->fresh || this->relay.is_reader()) {
+    if (!this->heard_at || !this->fresh || this->is_behind() || this->relay.is_reader()) {
         return {};
     }
     const auto since = std::min(*this->heard_at, *this->fresh);
@@ -183,29 +186,52 @@
         return; // the newest records are still being read
     }
     if (position.from > *this->next) {
-        const auto now = this->time.now();
-        this->behind_since = this->behind_since.value_or(now);
-        if (now - *this->behind_since < this->settings.gap_patience) {
-            return;
-        }
-        // Without a timer a call is under way, and what it brings is newer.
-        if (this->timer) {
-            this->time.cancel(*std::exchange(this->timer, std::nullopt));
-            this->read_log();
-        }
+        this->behind_since = this->behind_since.value_or(this->time.now());
+        this->early.insert_or_assign(position.from, early_position{position, as_of});
+        this->read_if_behind();
+        return;
+    }
+    this->take(position, as_of);
+    while (!this->early.empty() && this->early.begin()->first <= *this->next) {
+        const auto following = this->early.extract(this->early.begin()).mapped();
+        this->take(following.position, following.as_of);
+    }
+    if (this->early.empty()) {
+        this->behind_since.reset();
+    }
+    this->read_if_behind();
+}
+
+// Without a timer a call is under way, and what it brings is newer.
+void keyed_follower::read_if_behind()
+{
+    if (!this->is_behind() || !this->timer) {
         return;
     }
+    this->time.cancel(*std::exchange(this->timer, std::nullopt));
+    this->read_log();
+}
+
+bool keyed_follower::is_behind() const
+{
+    return this->behind_since &&
+           (this->time.now() - *this->behind_since >= this->settings.gap_patience ||
+            this->early.size() > most_early);
+}
+
+void keyed_follower::take(const topic_position& position, std::optional<monotonic_time> as_of)
+{
     for (const auto& record : position.changes) {
         if (record.offset >= *this->next) {
             this->apply(record, position.after_gap);
         }
     }
-    this->behind_since.reset();
     if (position.to > *this->next) {
         this->next = position.to;
         this->window.restart(*this->next);
     }
-    if (!as_of) {
+    // Of the positions of one read only the last one says that nothing else was written.
+    if (!as_of || !position.is_end || position.to < *this->next) {
         return;
     }
     this->heard_at = this->time.now();
--- a/lib/store/topic_relay.cpp
+++ b/lib/store/topic_relay.cpp
@@ -42,15 +42,15 @@
 {
     const auto start = this->reads.empty() ? this->next : this->reads.front().from;
     std::vector<topic_position> done;
-    topic_position open{topic, start, start, age, false, {}};
+    topic_position open{topic, start, start, age, false, false, {}};
     std::size_t bytes = 0;
     for (const auto& read : this->reads) {
         for (const auto& record : read.changes) {
             const auto size = size_in_position(record);
             if (bytes + size > longest_position) {
                 open.to = record.offset;
-                done.push_back(
-                    std::exchange(open, {topic, record.offset, record.offset, age, false, {}}));
+                done.push_back(std::exchange(
+                    open, {topic, record.offset, record.offset, age, false, false, {}}));
                 bytes = 0;
             }
             bytes += size;
@@ -59,6 +59,7 @@
         }
     }
     open.to = this->next;
+    open.is_end = true;
     done.push_back(std::move(open));
     return done;
 }
--- a/proto/fleet.capnp
+++ b/proto/fleet.capnp
@@ -39,6 +39,7 @@
   ageMicros @3 :UInt64;
   afterGap @4 :Bool;
   changes @5 :List(TopicChange);
+  isEnd @6 :Bool;  # else more positions follow
 }
 
 struct LeavingEndpoint {
--- a/unittests/fleet/node_digest_test.cpp
+++ b/unittests/fleet/node_digest_test.cpp
@@ -28,6 +28,7 @@
          log_offset{9},
          std::chrono::milliseconds{120},
          true,
+         true,
          {{log_offset{4}, "i-1", std::string{"a\0b", 3}}, {log_offset{5}, "i-2", std::nullopt}}}};
     return digest;
 }
