Log the prompt parts of failed attempts

Callers saw streams cut as engines crashed one after the other; the logs could not tell a prompt part that crashes engines from a fault of the whole route or of one caller. attempt_failed now names the request's prompt parts and says whether its answer had begun.

No decision is changed.

--- a/include/eelgrassbend/placement/prompt_cache.h
+++ b/include/eelgrassbend/placement/prompt_cache.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -17,6 +18,9 @@
     std::int64_t tokens = 0;
 };
 
+/// Returns the id of a part as logs show it.
+std::string part_name(std::uint64_t id);
+
 /// Estimates which prompt parts each engine caches, from the requests that this node sent to it.
 class prompt_cache {
 public:
--- a/lib/placement/prompt_cache.cpp
+++ b/lib/placement/prompt_cache.cpp
@@ -1,6 +1,8 @@
 #include "eelgrassbend/placement/prompt_cache.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace eelgrassbend {
 
@@ -10,6 +12,14 @@
 /// half is removed.
 static constexpr std::size_t max_parts_per_engine = 2048;
 
+std::string part_name(std::uint64_t id)
+{
+    constexpr int hex_base = 16;
+    std::array<char, 2 * sizeof(id)> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), id, hex_base).ptr;
+    return {digits.data(), end};
+}
+
 void prompt_cache::record_use(const endpoint_id& endpoint, const std::vector<prompt_part>& parts,
                               monotonic_time now)
 {
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -450,6 +450,16 @@
     this->refuse_not_run(reason, this->services.settings.min_retry_after);
 }
 
+static std::vector<std::string> part_names(const std::vector<prompt_part>& parts)
+{
+    std::vector<std::string> names;
+    names.reserve(parts.size());
+    for (const auto& part : parts) {
+        names.push_back(part_name(part.id));
+    }
+    return names;
+}
+
 void forward_flow::handle_attempt_failure(const error& reason)
 {
     this->may_have_run = true;
@@ -458,6 +468,8 @@
                              {{"request", this->request.fields.id.value()},
                               {"endpoint", this->current_placement.endpoint.value()},
                               {"last_event", this->last_event},
+                              {"answer_begun", this->answer.has_value()},
+                              {"prompt_parts", part_names(this->request.fields.parts)},
                               {"error", reason.to_string()}});
     const bool may_try =
         this->can_repeat_attempt() && this->services.retries.spend(this->request.target);
--- a/unittests/placement/prompt_cache_test.cpp
+++ b/unittests/placement/prompt_cache_test.cpp
@@ -8,6 +8,12 @@
 
 static const endpoint_id engine{"engine"};
 
+BOOST_AUTO_TEST_CASE(names_parts_in_hexadecimal)
+{
+    BOOST_TEST(part_name(0) == "0");
+    BOOST_TEST(part_name(0xfa44b4d2a9bcc137) == "fa44b4d2a9bcc137");
+}
+
 BOOST_AUTO_TEST_CASE(only_leading_parts_count)
 {
     prompt_cache cache{10'000};
