--- /dev/null
+++ b/unittests/gateway/part_quarantine_test.cpp
@@ -0,0 +1,105 @@
+#include "gateway_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+namespace eelgrassbend {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Bound of the time between the fifth crash under a part and the last request with it.
+static constexpr seconds max_reaction_time{3};
+static constexpr int max_crashes_unbounded = 5;
+static constexpr int max_requests_after_reaction = 3;
+
+namespace {
+
+/// A fleet before engines that crash when an answer to a request with the part "d0" begins.
+struct crashing_fleet : gateway_fleet {
+    explicit crashing_fleet(int nodes) : gateway_fleet(nodes)
+    {
+        this->logs.write(
+            {"op", true}, "config",
+            R"({"version":2,"routes":[{"name":"s","host":"f.example","pathPrefix":"/s/",)"
+            R"("kind":"stream","timeoutMs":9000,"goalMs":900,"service":"llm","maxAttempts":1}],)"
+            R"("services":[{"name":"llm"}],)"
+            R"("tenants":[{"name":"lodge","apiKeys":["k-1"]}]})");
+        for (int number = 1; number <= 8; ++number) {
+            this->write_engine(number);
+        }
+        this->time.run_for(seconds{3});
+    }
+
+    void write_engine(int number)
+    {
+        ++this->incarnations;
+        this->logs.write({"servers", true}, "e-" + std::to_string(number),
+                         R"({"service":"llm","address":"10.0.3.)" + std::to_string(number) +
+                             R"(:80","zone":"a","slots":1000,"state":"ready","born":)" +
+                             std::to_string(this->incarnations) + R"(,"seq":1})");
+    }
+
+    /// Sends a request through a node and plays the engine that it reaches. Returns whether one was
+    /// reached.
+    bool request(gateway_node& node, const std::string& parts)
+    {
+        const auto before = node.client.attempts.size();
+        const auto id = "r-" + std::to_string(++this->sent);
+        this->last = node.send("/s/1", id,
+                               {{"X-Eelgrassbend-Prefix-Hash", parts + "," + id + ":10"},
+                                {"X-Eelgrassbend-Token-Usage", "100,10"}});
+        if (node.client.attempts.size() == before) {
+            return false;
+        }
+        auto& attempt = node.client.last();
+        attempt.observer->on_head(
+            200, {{"X-Eelgrassbend-Request-Id", id}, {"X-Eelgrassbend-Response-Seal", "p"}});
+        if (parts.find("d0") == std::string::npos) {
+            attempt.observer->on_body("id: 1\ndata: x\n\n");
+            attempt.observer->on_completed();
+            return true;
+        }
+        const auto address = attempt.address;
+        attempt.observer->on_failed(make_error(errc::truncated, "call", address.to_string()),
+                                    dispatch_state::maybe_sent);
+        this->crashed.push_back(address);
+        return true;
+    }
+
+    gateway_node& any_node()
+    {
+        return *this->nodes[random_below(this->random, this->nodes.size())];
+    }
+
+    std::shared_ptr<fake_exchange> last;
+    std::vector<network_address> crashed;
+    int sent = 0;
+    std::int64_t incarnations = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requests_with_a_part_that_crashes_engines_stop_reaching_engines)
+{
+    crashing_fleet fleet{4};
+    std::optional<monotonic_time> fifth_crash;
+    int late = 0;
+    for (int round = 0; round < 60; ++round) {
+        fleet.time.run_for(milliseconds{400});
+        fleet.request(fleet.any_node(), "a0:50,b0:20");
+        const bool reached = fleet.request(fleet.any_node(), "a0:50,b0:20,d0:20");
+        if (fleet.crashed.size() == max_crashes_unbounded && !fifth_crash) {
+            fifth_crash = fleet.time.now();
+        }
+        late += reached && fifth_crash && fleet.time.now() - *fifth_crash > max_reaction_time;
+    }
+    BOOST_TEST(late <= max_requests_after_reaction);
+    for (const auto& node : fleet.nodes) {
+        BOOST_TEST(fleet.request(*node, "a0:50,b0:20"));
+        BOOST_TEST(fleet.last->status == 200);
+    }
+}
+
+} // namespace eelgrassbend
