Refuse requests with prompt parts that crash endpoints

Callers saw streams of all kinds break off as engines crashed one after the other, 12 to 16 times in 22 s, until the requests that caused it ended.

Cause: nothing related the crash of an endpoint to the request whose answer was beginning there. Each request was placed on the next engine as if the last crash had not happened, and each node knew only the crashes under its own requests. The class of fault is a request that harms every endpoint it reaches.

Ruled out: repeats by the nodes (no request id appears at two engines on this route; a repeatable route would have repeated), load (crashes end with the requests), the route or the caller as a whole (their other requests are answered).

Change: an attempt whose connection ends before its first event is examined: if its endpoint refuses connections, the endpoint crashed, and the shared parts of the prompt are suspected. An answer by any node refutes the suspicion of its parts. Parts that the suspects of three crashes at different moments have in common, and that no answer refutes within a second, are quarantined as a set: a request is refused, as not run, only if it has all of them. Suspects, answers and decisions travel in the digests and between groups. Quarantines run out and are tried by single requests. A request that has lost two attempts before an event is not sent to a third endpoint.

Why it holds: the part is in the suspects of every such crash and in no answer, however the requests differ; sound parts beside it are answered elsewhere, and parts that cannot be told apart are only refused together. Crashes at one moment (a rack, a zone), resets, garbled answers and cut hosts are no evidence, or are refuted by the next answer.

Weighed: refusing by caller or by first part (sound requests suffer), sending suspects to one engine kept for them (the engine is lost for seconds each time), deciding on the store (an append for each crash, and no decision while it is down).

--- a/include/eelgrassbend/fleet/node_digest.h
+++ b/include/eelgrassbend/fleet/node_digest.h
@@ -6,6 +6,7 @@
 #include "eelgrassbend/placement/endpoint_table.h"
 #include "eelgrassbend/placement/load_model.h"
 #include "eelgrassbend/platform/host_list.h"
+#include "eelgrassbend/quarantine/crash_report.h"
 #include "eelgrassbend/store/topic_relay.h"
 #include "eelgrassbend/support/error.h"
 #include "eelgrassbend/support/ids.h"
@@ -51,6 +52,7 @@
     std::vector<endpoint_incarnation>
         leaving_endpoints;                ///< that reported to this node that they leave
     std::optional<group_summary> summary; ///< of other groups, or for them
+    crash_report crashes;
 };
 
 /// Maximum size of a digest; fits a datagram.
--- a/include/eelgrassbend/gateway/gateway.h
+++ b/include/eelgrassbend/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "eelgrassbend/duties/duty_lease.h"
 #include "eelgrassbend/duties/scaler.h"
 #include "eelgrassbend/duties/usage_reporter.h"
+#include "eelgrassbend/endpoints/reachability_probe.h"
 #include "eelgrassbend/gateway/declaration_reader.h"
 #include "eelgrassbend/gateway/node_presence.h"
 #include "eelgrassbend/metrics/metrics.h"
@@ -31,6 +32,7 @@
     run_migrator& mover;
     const forward_protocol& protocol;
     const declaration_reader& declared;
+    reachability_probe& probes;
 };
 
 /// One entry node: applies the current configuration, tracks endpoints, routes requests, and runs
--- a/include/eelgrassbend/gateway/group_exchange.h
+++ b/include/eelgrassbend/gateway/group_exchange.h
@@ -12,6 +12,8 @@
 
 namespace eelgrassbend {
 
+class part_quarantine;
+
 /// Models that digests are built from and applied to; all outlive the `node_presence`.
 struct fleet_models {
     fleet_view& fleet;
@@ -21,6 +23,7 @@
     retry_budget& retries;
     usage_tracker& usage;
     demand_tracker& demand;
+    part_quarantine& quarantine;
 };
 
 /// Exchanges summaries between the groups of a large fleet. One node of each group, its
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -86,6 +86,7 @@
     void send_usage();
     void send_summary(const group_summary& summary, const std::vector<network_address>& receivers);
     void send_group_summary();
+    void send_crash_report(const std::vector<network_address>& receivers);
     void send_remote_summary(const std::vector<network_address>& receivers);
     void send(const node_digest& digest, const std::vector<network_address>& receivers);
     void receive(const std::string& bytes);
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -3,6 +3,7 @@
 
 #include "eelgrassbend/endpoints/endpoint_client.h"
 #include "eelgrassbend/placement/placer.h"
+#include "eelgrassbend/quarantine/crash_report.h"
 #include "eelgrassbend/routes/route_table.h"
 #include "eelgrassbend/serving/exchange.h"
 #include "eelgrassbend/serving/forward_protocol.h"
@@ -30,6 +31,7 @@
     int priority = 0;
     double units = 0.0; ///< charged to the quota
     forward_request_fields fields;
+    part_keys shared_parts; ///< of the prompt
     http_request http;
     std::shared_ptr<exchange> answer;
     monotonic_time received_at;
@@ -93,7 +95,11 @@
     void handle_stall_timeout();
     void forward_events(std::string_view bytes);
     void start_stream();
+    /// The endpoint has produced a part of its answer.
+    void handle_answer_produced();
     void handle_attempt_refused();
+    /// The connection of the current attempt has ended before its answer was complete.
+    void handle_attempt_lost(const error& reason);
     void handle_attempt_failure(const error& reason);
     void end_attempt(attempt_result outcome);
     void repeat_attempt();
@@ -141,8 +147,10 @@
     std::optional<forward_answer_fields> stream_head; ///< of the run whose events are forwarded
     std::optional<monotonic_time> waiting_since;
     int endpoints_tried = 0;
+    int attempts_lost_before_event = 0;
     bool may_have_run = false;
     bool is_new_run = true; ///< the current attempt starts at the first event
+    bool has_event = false; ///< the current attempt has received an event or its answer
     bool is_usage_counted = false;
     bool is_demand_counted = false;
     bool is_stream_started = false;
--- a/include/eelgrassbend/serving/forward_handler.h
+++ b/include/eelgrassbend/serving/forward_handler.h
@@ -44,6 +44,8 @@
     /// any.
     std::optional<forward_refusal> check_request(forwarded_request& request) const;
     std::optional<forward_refusal> authenticate(forwarded_request& request) const;
+    /// Refuses requests with prompt parts that are in quarantine.
+    std::optional<forward_refusal> check_quarantine(forwarded_request& request);
     std::optional<forward_refusal> charge_quota(forwarded_request& request);
     void refuse(const forwarded_request& request, const forward_refusal& refused);
     void start_flow(forwarded_request request);
--- a/include/eelgrassbend/serving/forward_services.h
+++ b/include/eelgrassbend/serving/forward_services.h
@@ -13,6 +13,7 @@
 class forward_protocol;
 class load_model;
 class metrics;
+class part_quarantine;
 class placer;
 class prompt_cache;
 class random_source;
@@ -20,6 +21,7 @@
 class run_migrator;
 class scheduler;
 class byte_budget;
+class crash_detector;
 class demand_tracker;
 class usage_tracker;
 
@@ -75,6 +77,8 @@
     run_migrator& migrator;
     byte_budget& answer_memory; ///< for answers that are buffered until complete
     demand_tracker& demand;
+    part_quarantine& quarantine;
+    crash_detector& crashes;
 };
 
 } // namespace eelgrassbend
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassbend/codec/capnp_bytes.h"
 
+#include "crash_report_codec.h"
 #include "fleet.capnp.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
     for (const auto& entry : digest.leaving_endpoints) {
         bytes += count_bytes + entry.endpoint.value().size();
     }
+    bytes += crash_report_bytes(digest.crashes);
     for (const auto& [organisation, units] : digest.admitted) {
         bytes += count_bytes + organisation.value().size();
     }
@@ -292,6 +294,9 @@
     if (digest.summary) {
         write_summary(*digest.summary, out.initSummary());
     }
+    if (!digest.crashes.is_empty()) {
+        write_crash_report(digest.crashes, out.initCrashes());
+    }
     return to_bytes(message);
 }
 
@@ -326,6 +331,9 @@
     if (in.hasSummary()) {
         digest.summary = read_summary(in.getSummary());
     }
+    if (in.hasCrashes()) {
+        digest.crashes = read_crash_report(in.getCrashes());
+    }
     digest.positions_from = group_id{to_string(in.getPositionsFrom())};
     digest.reads_store = in.getReadsStore();
     if (in.getEchoIncarnation() != 0) {
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrassbend/placement/placer.h"
 #include "eelgrassbend/placement/prompt_cache.h"
+#include "eelgrassbend/quarantine/crash_detector.h"
 #include "eelgrassbend/support/byte_budget.h"
 #include "eelgrassbend/support/callback_scope.h"
 
@@ -132,6 +133,8 @@
     demand_tracker demand;
     fleet_view fleet;
     byte_budget answer_memory;
+    part_quarantine quarantine;
+    crash_detector crashes;
     forward_services services;
     forward_handler front;
     node_presence presence;
@@ -161,6 +164,9 @@
       usage(node_settings.bounds.usage_window),
       fleet(node_settings.node, node_settings.zone),
       answer_memory(max_answer_bytes, max_total_answer_bytes),
+      quarantine(dependencies.log, dependencies.counters, node_settings.node),
+      crashes(dependencies.probes, quarantine, dependencies.time, dependencies.log,
+              dependencies.counters),
       services{forward,
                dependencies.time,
                dependencies.random,
@@ -177,12 +183,14 @@
                usage,
                dependencies.mover,
                answer_memory,
-               demand},
+               demand,
+               quarantine,
+               crashes},
       front(services),
       presence(
           {dependencies.store, dependencies.datagrams, dependencies.time, dependencies.random,
            dependencies.log},
-          {fleet, loads, endpoints, quotas, retries, usage, demand},
+          {fleet, loads, endpoints, quotas, retries, usage, demand, quarantine},
           {node_settings.node, node_settings.zone, node_settings.callers, node_settings.datagrams}),
       lease(dependencies.store, dependencies.time, dependencies.log, presence,
             make_lease_settings(node_settings)),
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassbend/gateway/node_presence.h"
 
+#include "eelgrassbend/quarantine/part_quarantine.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -133,8 +135,10 @@
                                                       min_urgent_interval, digest_interval);
     this->timer = this->dependencies.time.call_after(std::min<duration>(urgent_interval, interval),
                                                      [this] { this->tick(); });
-    const bool needs_digest =
-        this->models.quotas.needs_digest() || this->models.loads.needs_digest();
+    this->models.quarantine.update(now);
+    const bool needs_digest = this->models.quotas.needs_digest() ||
+                              this->models.loads.needs_digest() ||
+                              this->models.quarantine.needs_digest();
     if (now < this->next_digest && !needs_digest) {
         return;
     }
@@ -185,8 +189,13 @@
     digest.admitted = this->models.quotas.totals_for_digest();
     digest.leaving_endpoints =
         this->models.endpoints.draining_to_report(this->dependencies.time.now());
+    const bool is_representative =
+        this->groups.should_send_summaries(this->dependencies.time.now());
+    digest.crashes =
+        this->models.quarantine.report(is_representative, this->dependencies.time.now());
     this->models.quotas.on_digest_sent();
     this->models.loads.on_digest_sent();
+    this->models.quarantine.on_digest_sent();
     ++this->digest_count;
     const bool include_silent =
         this->is_leaving ||
@@ -201,7 +210,7 @@
         }
     }
     this->send(digest, chosen);
-    if (this->groups.should_send_summaries(this->dependencies.time.now())) {
+    if (is_representative) {
         this->send_remote_summary(chosen);
     }
 }
@@ -238,6 +247,7 @@
     const auto summary = this->groups.own_summary(now, this->group_duty_holder(), ready);
     auto receivers = this->groups.representative_addresses(now);
     this->send_summary(summary, receivers);
+    this->send_crash_report(receivers);
     const auto windows = this->models.usage.group_counts();
     if (windows.empty()) {
         return;
@@ -258,6 +268,17 @@
     this->send(digest, receivers);
 }
 
+void node_presence::send_crash_report(const std::vector<network_address>& receivers)
+{
+    auto report = this->models.quarantine.report(true, this->dependencies.time.now());
+    if (report.is_empty()) {
+        return;
+    }
+    auto digest = this->make_digest();
+    digest.crashes = std::move(report);
+    this->send(digest, receivers);
+}
+
 // Usage has datagrams of its own, since with many organisations it leaves no capacity for the load.
 // The two newest windows alternate with the two before.
 void node_presence::send_usage()
@@ -312,6 +333,9 @@
     for (const auto& leaving : digest.leaving_endpoints) {
         this->models.endpoints.mark_draining_from_peer(leaving, now);
     }
+    if (!digest.crashes.is_empty()) {
+        this->models.quarantine.apply(digest.crashes, now);
+    }
     this->groups.handle_digest(digest, now);
     std::optional<monotonic_time> sent_at;
     if (digest.echo && digest.echo->incarnation == this->incarnation) {
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -6,6 +6,7 @@
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/metrics/metrics.h"
 #include "eelgrassbend/placement/demand_tracker.h"
+#include "eelgrassbend/quarantine/part_quarantine.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,9 @@
 static constexpr int ranks_per_priority = 2;
 /// Requests with an objective above this rank after shorter ones of their priority.
 static constexpr std::chrono::milliseconds short_objective_limit{800};
+/// Attempts of one request that may be lost before an event. The request itself may be the cause,
+/// so it is not sent to further endpoints.
+static constexpr int max_attempts_lost_before_event = 2;
 
 forward_flow::forward_flow(const forward_services& services, forwarded_request request,
                            ended_handler on_ended)
@@ -181,6 +185,7 @@
     this->answer_body.clear();
     this->buffer_reservation.clear();
     this->events.reset();
+    this->has_event = false;
     this->is_new_run = this->kv_cache_source.empty() && this->last_event.empty();
     const auto now = this->services.time.now();
     if (this->deadline() - now < min_time_left) {
@@ -255,7 +260,9 @@
 bool forward_flow::can_repeat_attempt() const
 {
     return this->request.matched_route->is_repeatable() &&
-           this->endpoints_tried < this->request.matched_route->max_endpoints;
+           this->endpoints_tried < this->request.matched_route->max_endpoints &&
+           this->attempts_lost_before_event < max_attempts_lost_before_event &&
+           !this->services.quarantine.is_quarantined(this->request.shared_parts);
 }
 
 void forward_flow::log_placement(const placement& chosen) const
@@ -348,6 +355,7 @@
     if (forwarded.empty()) {
         return;
     }
+    this->handle_answer_produced();
     this->start_stream();
     this->arm_stall_timer();
     this->request.answer->send(std::move(forwarded));
@@ -376,9 +384,9 @@
         return;
     }
     if (this->events.is_within_event()) {
-        this->handle_attempt_failure(make_error(errc::truncated, "read event stream",
-                                                this->current_placement.endpoint.value(),
-                                                "stream ended within an event"));
+        this->handle_attempt_lost(make_error(errc::truncated, "read event stream",
+                                             this->current_placement.endpoint.value(),
+                                             "stream ended within an event"));
         return;
     }
     this->start_stream();
@@ -398,6 +406,9 @@
         return;
     }
     const bool is_failure = this->answer->status >= first_server_error;
+    if (this->answer->is_success()) {
+        this->handle_answer_produced();
+    }
     if (is_failure && this->can_repeat_attempt() &&
         this->services.retries.spend(this->request.target)) {
         this->end_attempt(attempt_result::failed);
@@ -428,7 +439,7 @@
     }
     this->may_have_run = true;
     this->count_usage();
-    this->handle_attempt_failure(reason);
+    this->handle_attempt_lost(reason);
 }
 
 void forward_flow::handle_attempt_refused()
@@ -450,16 +461,6 @@
     this->refuse_not_run(reason, this->services.settings.min_retry_after);
 }
 
-static std::vector<std::string> part_names(const std::vector<prompt_part>& parts)
-{
-    std::vector<std::string> names;
-    names.reserve(parts.size());
-    for (const auto& part : parts) {
-        names.push_back(part_name(part.id));
-    }
-    return names;
-}
-
 void forward_flow::handle_attempt_failure(const error& reason)
 {
     this->may_have_run = true;
@@ -469,7 +470,7 @@
                               {"endpoint", this->current_placement.endpoint.value()},
                               {"last_event", this->last_event},
                               {"answer_begun", this->answer.has_value()},
-                              {"prompt_parts", part_names(this->request.fields.parts)},
+                              {"shared_parts", part_names(this->request.shared_parts)},
                               {"error", reason.to_string()}});
     const bool may_try =
         this->can_repeat_attempt() && this->services.retries.spend(this->request.target);
--- a/lib/serving/forward_handler.cpp
+++ b/lib/serving/forward_handler.cpp
@@ -4,6 +4,7 @@
 #include "eelgrassbend/limits/retry_budget.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/metrics/metrics.h"
+#include "eelgrassbend/quarantine/part_quarantine.h"
 
 #include <nlohmann/json.hpp>
 
@@ -71,6 +72,9 @@
     admitted.answer = std::move(answer);
     admitted.received_at = this->services.time.now();
     auto refused = this->check_request(admitted);
+    if (!refused) {
+        refused = this->check_quarantine(admitted);
+    }
     if (!refused) {
         refused = this->charge_quota(admitted);
     }
@@ -136,6 +140,20 @@
     return std::nullopt;
 }
 
+std::optional<forward_refusal> forward_handler::check_quarantine(forwarded_request& request)
+{
+    request.shared_parts = shared_part_keys(request.target, request.fields.parts);
+    const auto wait =
+        this->services.quarantine.admit(request.shared_parts, this->services.time.now());
+    if (!wait) {
+        return std::nullopt;
+    }
+    this->services.counters.count("eelgrassbend_quarantine_refusals_total",
+                                  {{"route", request.matched_route->name}}, 1);
+    return refused_with(status_unavailable, errc::unavailable, "check prompt",
+                        "prompt has parts that crashed endpoints", *wait);
+}
+
 std::optional<forward_refusal> forward_handler::charge_quota(forwarded_request& request)
 {
     this->services.retries.earn(request.target);
--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -1,9 +1,11 @@
 #include "eelgrassbend/logging/event_log.h"
+#include "eelgrassbend/quarantine/crash_detector.h"
 #include "eelgrassbend/serving/forward_flow.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassbend {
 
@@ -45,6 +47,27 @@
     this->answer_body += bytes;
 }
 
+void forward_flow::handle_answer_produced()
+{
+    if (!std::exchange(this->has_event, true)) {
+        this->services.quarantine.record_answer(this->request.shared_parts,
+                                                this->services.time.now());
+    }
+}
+
+void forward_flow::handle_attempt_lost(const error& reason)
+{
+    if (!this->has_event) {
+        ++this->attempts_lost_before_event;
+        const auto* known = this->services.endpoints.find(this->current_placement.endpoint);
+        this->services.crashes.handle_lost_attempt(
+            {this->current_placement.endpoint, known != nullptr ? known->record.started : 0,
+             this->current_placement.address, this->request.fields.id, this->answer.has_value(),
+             this->request.shared_parts});
+    }
+    this->handle_attempt_failure(reason);
+}
+
 // Only complete events count as progress, since other bytes are not forwarded to the caller. A slow
 // but live stream emits an event well within the time after which callers disconnect.
 void forward_flow::arm_stall_timer()
--- a/proto/fleet.capnp
+++ b/proto/fleet.capnp
@@ -69,6 +69,31 @@
   seconds @1 :Float64;       # of engine time; a running total
 }
 
+struct CrashSuspect {
+  crash @0 :UInt64;          # hash of the endpoint and its incarnation
+  request @1 :UInt64;        # hash of the request's id
+  answerBegun @2 :Bool;
+  parts @3 :List(UInt64);
+  ageMicros @4 :UInt64;
+}
+
+struct SoundPart {
+  part @0 :UInt64;
+  ageMicros @1 :UInt64;
+}
+
+struct QuarantinedSet {
+  parts @0 :List(UInt64);
+  level @1 :UInt32;
+  ageMicros @2 :UInt64;
+}
+
+struct CrashReport {
+  suspects @0 :List(CrashSuspect);
+  sound @1 :List(SoundPart);
+  quarantined @2 :List(QuarantinedSet);
+}
+
 struct GroupSummary {
   group @0 :Text;            # empty: all groups but the receiver's
   heard @1 :UInt32;
@@ -109,4 +134,5 @@
   leavingEndpoints @21 :List(LeavingEndpoint);
   summary @22 :GroupSummary; # may be missing
   demand @23 :List(ServiceDemand);
+  crashes @24 :CrashReport;  # may be missing
 }
--- a/tools/eelgrassbend-gateway/gateway_services.cpp
+++ b/tools/eelgrassbend-gateway/gateway_services.cpp
@@ -8,6 +8,7 @@
 #include "eelgrassbend/net/asio_datagrams.h"
 #include "eelgrassbend/net/asio_endpoint_client.h"
 #include "eelgrassbend/net/asio_http_client.h"
+#include "eelgrassbend/net/asio_reachability_probe.h"
 #include "eelgrassbend/net/asio_scheduler.h"
 #include "eelgrassbend/support/random_source.h"
 
@@ -84,6 +85,11 @@
              return std::make_shared<component_service<asio_endpoint_client>>(context,
                                                                               endpoint_limits());
          }},
+        {"probes",
+         [&context](const resolved_services&) {
+             return std::make_shared<component_service<asio_reachability_probe>>(context,
+                                                                                 connect_timeout);
+         }},
         {"protocol",
          [](const resolved_services&) {
              return std::make_shared<component_service<forward_headers>>();
@@ -111,7 +117,7 @@
             needs.get<record_store>("store"), needs.get<datagram_transport>("datagrams"),
             needs.get<endpoint_client>("endpoint_client"), needs.get<duty_calls>("duty_calls"),
             needs.get<run_migrator>("run_mover"), needs.get<forward_protocol>("protocol"),
-            needs.get<declaration_reader>("declarations")},
+            needs.get<declaration_reader>("declarations"), needs.get<reachability_probe>("probes")},
         settings);
 }
 
@@ -158,7 +164,7 @@
                   needs.get<http_client>("http_client"), move_timeout);
           }}},
         {{"scheduler", "random", "event_log", "metrics", "store", "datagrams", "endpoint_client",
-          "duty_calls", "run_mover", "protocol", "declarations"},
+          "duty_calls", "run_mover", "protocol", "declarations", "probes"},
          {"gateway",
           [settings](const resolved_services& needs) { return make_gateway(needs, settings); }}},
     };
--- a/unittests/fleet/node_digest_test.cpp
+++ b/unittests/fleet/node_digest_test.cpp
@@ -118,4 +118,40 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_digest_carries_a_crash_report)
+{
+    node_digest digest;
+    digest.node = node_id{"front-1"};
+    digest.crashes.suspects = {
+        {crash_id{7}, 8, true, {part_key{1}, part_key{2}}, std::chrono::milliseconds{1500}}};
+    digest.crashes.sound = {{part_key{3}, std::chrono::seconds{2}}};
+    digest.crashes.quarantined = {{{part_key{4}}, 2, std::chrono::minutes{3}}};
+    const auto decoded = decode_digest(encode_digest(digest));
+    BOOST_TEST(bool{decoded});
+    BOOST_TEST((decoded.value().crashes == digest.crashes));
+    digest.crashes = {};
+    BOOST_TEST(decode_digest(encode_digest(digest)).value().crashes.is_empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_digest_with_the_largest_crash_report_fits_a_datagram)
+{
+    node_digest digest;
+    digest.node = node_id{"front-1"};
+    part_keys parts;
+    for (std::size_t number = 0; number < max_examined_parts; ++number) {
+        parts.emplace_back(~number);
+    }
+    for (std::uint64_t number = 0; number < 4; ++number) {
+        digest.crashes.suspects.push_back(
+            {crash_id{~number}, ~number, true, parts, std::chrono::seconds{4}});
+    }
+    digest.crashes.sound.assign(8, {part_key{~std::uint64_t{0}}, std::chrono::seconds{4}});
+    digest.crashes.quarantined.assign(2, {{part_key{~std::uint64_t{0}}}, 5, std::chrono::hours{9}});
+    for (int number = 0; number < 60; ++number) {
+        digest.work[endpoint_id{"i-0123456789" + std::to_string(number)}] = {number, 1'000, 9'000};
+    }
+    digest.carries_load = true;
+    BOOST_TEST(encode_digest(digest).size() <= max_digest_bytes);
+}
+
 } // namespace eelgrassbend
--- a/unittests/gateway/gateway_fleet.h
+++ b/unittests/gateway/gateway_fleet.h
@@ -6,6 +6,7 @@
 
 #include "duties/duty_fakes.h"
 #include "fakes/fake_datagrams.h"
+#include "fakes/fake_reachability_probe.h"
 #include "fakes/fake_record_store.h"
 #include "platform/forward_headers.h"
 #include "platform/platform_declaration_reader.h"
@@ -26,7 +27,7 @@
           store(logs, time),
           datagrams(network, address(number, 7600)),
           node({time, random, log, counters, store, datagrams, client, duties, mover, protocol,
-                declared},
+                declared, probes},
                this->settings)
     {
         this->node.start();
@@ -70,6 +71,7 @@
     fake_run_migrator mover;
     forward_headers protocol;
     platform_declaration_reader declared;
+    fake_reachability_probe probes;
     gateway node;
 };
 
--- a/unittests/gateway/part_quarantine_test.cpp
+++ b/unittests/gateway/part_quarantine_test.cpp
@@ -64,6 +64,7 @@
         const auto address = attempt.address;
         attempt.observer->on_failed(make_error(errc::truncated, "call", address.to_string()),
                                     dispatch_state::maybe_sent);
+        node.probes.answer_all(reachability::refused);
         this->crashed.push_back(address);
         return true;
     }
--- /dev/null
+++ b/unittests/serving/forward_crash_test.cpp
@@ -0,0 +1,110 @@
+#include "forward_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace eelgrassbend {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+struct crash_fixture : forward_fixture {
+    /// Each character of `parts` is a part of the prompt.
+    std::shared_ptr<fake_exchange> send_prompt(const std::string& path, const std::string& parts)
+    {
+        return this->send(path, {{"Parts", parts}});
+    }
+
+    void lose_attempt()
+    {
+        this->client.last().observer->on_failed(
+            make_error(errc::truncated, "call endpoint", this->endpoint()),
+            dispatch_state::maybe_sent);
+        this->probes.answer_all(reachability::refused);
+        this->time.run_for(seconds{1});
+        this->quarantine.update(this->time.now());
+    }
+
+    void quarantine_part_d()
+    {
+        for (const char* own : {"1", "2", "3"}) {
+            this->send_prompt("/long/1", std::string{"ad"} + own);
+            this->head();
+            this->lose_attempt();
+            this->send_prompt("/long/1", std::string{"a"} + own);
+            this->head();
+            this->body("id: 1\ndata: x\n\n");
+            this->complete();
+        }
+        this->time.run_for(seconds{1});
+        this->quarantine.update(this->time.now());
+        this->confirm();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(refuses_a_prompt_that_crashed_endpoints_as_not_run, crash_fixture)
+{
+    this->quarantine_part_d();
+    const auto sent = this->client.attempts.size();
+    const auto refused = this->send_prompt("/long/1", "ad4");
+    BOOST_TEST(refused->status == 503);
+    BOOST_TEST(!refused->header("Retry-After").empty());
+    BOOST_TEST(this->client.attempts.size() == sent);
+    const auto served = this->send_prompt("/long/1", "a4");
+    this->head();
+    this->body("id: 1\ndata: x\n\n");
+    this->complete();
+    BOOST_TEST(served->ended);
+}
+
+BOOST_FIXTURE_TEST_CASE(examines_only_attempts_that_were_lost_before_an_event, crash_fixture)
+{
+    this->send_prompt("/long/1", "ab1");
+    this->head();
+    this->body("id: 1\ndata: x\n\n");
+    this->client.last().observer->on_failed(make_error(errc::truncated, "call", "endpoint"),
+                                            dispatch_state::maybe_sent);
+    BOOST_TEST(this->probes.pending.empty());
+    this->send_prompt("/long/1", "ab1");
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_TEST(this->probes.pending.size() == 1U);
+}
+
+// A request that crashes endpoints would otherwise take down as many as its route allows.
+BOOST_FIXTURE_TEST_CASE(sends_a_request_to_two_endpoints_at_most_if_both_are_lost, crash_fixture)
+{
+    this->configuration.routes[1].max_endpoints = 4;
+    for (const char* id : {"draft-3", "draft-4"}) {
+        this->add_endpoint("draft", id);
+    }
+    this->configuration.version = configuration_version{2};
+    this->apply();
+    const auto answer = this->send_prompt("/short/1", "ad1");
+    for (int lost = 0; lost < 2; ++lost) {
+        this->head();
+        this->fail(dispatch_state::maybe_sent);
+        BOOST_TEST(this->client.attempts.size() == 2U);
+    }
+    BOOST_TEST(answer->status == 502);
+}
+
+BOOST_FIXTURE_TEST_CASE(does_not_repeat_a_request_whose_parts_are_in_quarantine, crash_fixture)
+{
+    const auto waiting = this->send_prompt("/short/1", "ad0");
+    auto* observer = this->client.last().observer;
+    this->quarantine.apply(
+        {{}, {}, {{shared_part_keys(service_id{"draft"}, {{'d', 1}, {0, 1}}), 0, seconds{0}}}},
+        this->time.now());
+    const auto sent = this->client.attempts.size();
+    observer->on_failed(make_error(errc::truncated, "call", "endpoint"),
+                        dispatch_state::maybe_sent);
+    BOOST_TEST(this->client.attempts.size() == sent);
+    BOOST_TEST(waiting->status == 502);
+}
+
+} // namespace eelgrassbend
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -5,9 +5,11 @@
 #include "eelgrassbend/limits/fleet_quota.h"
 #include "eelgrassbend/limits/retry_budget.h"
 #include "eelgrassbend/placement/demand_tracker.h"
+#include "eelgrassbend/quarantine/crash_detector.h"
 #include "eelgrassbend/serving/forward_handler.h"
 #include "eelgrassbend/support/byte_budget.h"
 
+#include "fakes/fake_reachability_probe.h"
 #include "serving_fakes.h"
 
 #include <optional>
@@ -27,6 +29,10 @@
         if (const auto left = request.header("Time-Left-Ms"); !left.empty()) {
             fields.time_left = std::chrono::milliseconds{std::stol(left)};
         }
+        // One character for each part.
+        for (const char part : request.header("Parts")) {
+            fields.parts.push_back({static_cast<std::uint64_t>(part), 10});
+        }
         if (const auto tokens = request.header("Tokens"); !tokens.empty()) {
             fields.has_token_counts = true;
             fields.prompt_tokens = std::stol(tokens);
@@ -234,10 +240,14 @@
     fake_run_migrator migrator;
     demand_tracker demand;
     byte_budget answer_memory{4'000, 10'000};
+    part_quarantine quarantine{this->log, this->counters, node_id{"front-1"}};
+    fake_reachability_probe probes;
+    crash_detector crashes{this->probes, this->quarantine, this->time, this->log, this->counters};
     forward_settings settings;
-    forward_services services{settings, time,      random,   log,           counters, protocol,
-                              client,   endpoints, loads,    cache,         places,   quotas,
-                              retries,  usage,     migrator, answer_memory, demand};
+    forward_services services{settings,      time,   random,     log,    counters,
+                              protocol,      client, endpoints,  loads,  cache,
+                              places,        quotas, retries,    usage,  migrator,
+                              answer_memory, demand, quarantine, crashes};
     forward_handler handler{services};
     routing_configuration configuration;
     int sent = 0;
--- a/unittests/serving/serving_fakes.h
+++ b/unittests/serving/serving_fakes.h
@@ -7,7 +7,6 @@
 #include "eelgrassbend/endpoints/endpoint_client.h"
 #include "eelgrassbend/endpoints/endpoint_directory.h"
 #include "eelgrassbend/ledger/ledger.h"
-#include "eelgrassbend/metrics/metrics.h"
 #include "eelgrassbend/routing/hedge_policy.h"
 #include "eelgrassbend/routing/limiter.h"
 #include "eelgrassbend/routing/router.h"
@@ -20,6 +19,7 @@
 
 #include "fakes/fake_event_log.h"
 #include "fakes/fake_membership.h"
+#include "fakes/fake_metrics.h"
 #include "fakes/fake_peer_rpc.h"
 
 #include <algorithm>
@@ -291,26 +291,6 @@
     std::vector<request_id> cancelled;
 };
 
-class fake_metrics : public metrics {
-public:
-    void count(const std::string& name, const metric_labels&, double amount) override
-    {
-        this->values[name] += amount;
-    }
-
-    void set(const std::string& name, const metric_labels&, double value) override
-    {
-        this->values[name] = value;
-    }
-
-    void observe(const std::string& name, const metric_labels&, double) override
-    {
-        this->values[name] += 1;
-    }
-
-    std::map<std::string, double> values;
-};
-
 class fake_bundle_view : public bundle_view {
 public:
     [[nodiscard]] std::shared_ptr<const bundle> current() const override { return this->rules; }
