Record quarantined prompt parts in the store

Cause: a quarantine lived in the nodes' memory only; if all nodes restart at once, the part crashes as many engines again before it is found a second time, past the bound on requests after the fifth crash.

Change: the node that reads the store for the others writes one record for each quarantined set into the topic of the nodes' records, which every node reads at its start, and deletes it when the set is no longer quarantined. Ruled out: a topic of its own (a call more for each node at its start, which the users price), a write by each node that decides (one for each node at the same moment).

Evidence: a_quarantine_survives_a_restart_of_all_nodes; few_calls_record_a_quarantine (one append for 12 nodes); a_quarantine_needs_no_store_and_is_recorded_once_it_returns; all_groups_of_a_divided_fleet_refuse_a_part (45 nodes in three groups, six crashes at most).

--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -5,6 +5,7 @@
 #include "eelgrassbend/fleet/fleet_view.h"
 #include "eelgrassbend/gateway/group_exchange.h"
 #include "eelgrassbend/gateway/position_relay.h"
+#include "eelgrassbend/gateway/quarantine_records.h"
 #include "eelgrassbend/limits/fleet_quota.h"
 #include "eelgrassbend/limits/retry_budget.h"
 #include "eelgrassbend/logging/event_log.h"
@@ -76,7 +77,7 @@
     /// Addresses of some nodes of other groups that accept new callers.
     [[nodiscard]] std::vector<network_address> remote_ready_addresses() const;
 
-    /// Topic of the records of entry nodes.
+    /// Topic of the records of entry nodes and of the quarantined prompt parts.
     static store_topic topic() { return {"entry-nodes", true}; }
 
 private:
@@ -99,6 +100,7 @@
     node_identity identity;
     group_exchange groups;
     position_relay positions;
+    quarantine_records quarantines;
     const duty_lease* lease = nullptr;
     callbacks handlers;
     sent_digests sent_times;
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -40,7 +40,10 @@
       models(models),
       identity(std::move(identity)),
       groups(models, dependencies.random),
-      positions(dependencies.datagrams, dependencies.time, models.fleet, *this, this->identity.node)
+      positions(dependencies.datagrams, dependencies.time, models.fleet, *this,
+                this->identity.node),
+      quarantines(dependencies.store, dependencies.time, dependencies.log, models.quarantine,
+                  topic())
 {
     this->incarnation =
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
@@ -90,6 +93,10 @@
 
 bool node_presence::on_record_written(const std::string& key, const std::string& value)
 {
+    if (quarantine_records::is_own_key(key)) {
+        this->quarantines.on_record_written(key, value);
+        return true;
+    }
     const auto parsed = nlohmann::json::parse(value, nullptr, false);
     const bool is_valid = parsed.is_object() && parsed.contains("ip") && parsed.contains("port") &&
                           parsed.contains("zone") && parsed["ip"].is_string() &&
@@ -107,6 +114,10 @@
 
 void node_presence::on_record_removed(const std::string& key, bool /*after_gap*/)
 {
+    if (quarantine_records::is_own_key(key)) {
+        this->quarantines.on_record_removed(key);
+        return;
+    }
     this->models.fleet.remove_record(node_id{key});
 }
 
@@ -151,6 +162,9 @@
     if (now >= this->next_summary) {
         this->next_summary = now + digest_interval;
         this->groups.update(now);
+        if (this->positions.is_reader() && this->handlers.can_read_store()) {
+            this->quarantines.synchronize();
+        }
         if (this->groups.should_send_summaries(now)) {
             this->send_group_summary();
         }
--- a/lib/serving/forward_handler.cpp
+++ b/lib/serving/forward_handler.cpp
@@ -151,7 +151,7 @@
     this->services.counters.count("eelgrassbend_quarantine_refusals_total",
                                   {{"route", request.matched_route->name}}, 1);
     return refused_with(status_unavailable, errc::unavailable, "check prompt",
-                        "prompt has parts that crashed endpoints", *wait);
+                        "prompt has parts that crashed endpoints", wait);
 }
 
 std::optional<forward_refusal> forward_handler::charge_quota(forwarded_request& request)
--- a/unittests/gateway/part_quarantine_test.cpp
+++ b/unittests/gateway/part_quarantine_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace eelgrassbend {
@@ -18,7 +19,7 @@
 
 /// A fleet before engines that crash when an answer to a request with the part "d0" begins.
 struct crashing_fleet : gateway_fleet {
-    explicit crashing_fleet(int nodes) : gateway_fleet(nodes)
+    explicit crashing_fleet(int nodes, int zones = 1) : gateway_fleet(nodes, zones)
     {
         this->logs.write(
             {"op", true}, "config",
@@ -69,6 +70,25 @@
         return true;
     }
 
+    /// Sends requests with the part "d0" until some engines have crashed under them.
+    void crash_engines()
+    {
+        for (int round = 0; round < 8; ++round) {
+            this->request(this->any_node(), "a0:50,d0:20");
+            this->time.run_for(milliseconds{400});
+        }
+        this->time.run_for(seconds{2});
+    }
+
+    [[nodiscard]] bool is_refused_everywhere(const std::string& parts)
+    {
+        bool is_refused = true;
+        for (const auto& node : this->nodes) {
+            is_refused = !this->request(*node, parts) && this->last->status == 503 && is_refused;
+        }
+        return is_refused;
+    }
+
     gateway_node& any_node()
     {
         return *this->nodes[random_below(this->random, this->nodes.size())];
@@ -103,4 +123,68 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantine_survives_a_restart_of_all_nodes)
+{
+    crashing_fleet fleet{4};
+    fleet.crash_engines();
+    BOOST_TEST(fleet.is_refused_everywhere("a0:50,d0:20"));
+    fleet.nodes.clear();
+    fleet.time.run_for(seconds{1});
+    for (int number = 1; number <= 4; ++number) {
+        fleet.nodes.push_back(
+            std::make_unique<gateway_node>(fleet.time, fleet.logs, fleet.network, number));
+    }
+    fleet.time.run_for(seconds{5});
+    BOOST_TEST(fleet.is_refused_everywhere("a0:50,d0:20"));
+    BOOST_TEST(fleet.request(fleet.any_node(), "a0:50,b0:20"));
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantine_needs_no_store_and_is_recorded_once_it_returns)
+{
+    crashing_fleet fleet{4};
+    for (const auto& node : fleet.nodes) {
+        node->store.is_down = true;
+    }
+    for (int round = 0; round < 8; ++round) {
+        fleet.request(fleet.any_node(), "a0:50,d0:20");
+        fleet.time.run_for(milliseconds{250});
+    }
+    const auto has_record = [&] {
+        const auto& newest = fleet.logs.topics["entry-nodes"].newest;
+        return std::any_of(newest.begin(), newest.end(), [](const auto& entry) {
+            return entry.first.starts_with("quarantine/");
+        });
+    };
+    BOOST_TEST(!has_record());
+    for (const auto& node : fleet.nodes) {
+        BOOST_TEST(node->log.count("quarantine_started") == 1U);
+        node->store.is_down = false;
+    }
+    fleet.time.run_for(seconds{3});
+    BOOST_TEST(has_record());
+    BOOST_TEST(fleet.is_refused_everywhere("a0:50,d0:20"));
+}
+
+BOOST_AUTO_TEST_CASE(few_calls_record_a_quarantine)
+{
+    crashing_fleet fleet{12};
+    fleet.crash_engines();
+    fleet.time.run_for(seconds{30});
+    std::size_t appended = 0;
+    for (const auto& record : fleet.logs.topics["entry-nodes"].records) {
+        appended += record.key.starts_with("quarantine/") ? 1 : 0;
+    }
+    BOOST_TEST(appended == 1U);
+}
+
+// In a divided fleet, nodes receive the reports of other groups through the representatives only.
+BOOST_AUTO_TEST_CASE(all_groups_of_a_divided_fleet_refuse_a_part)
+{
+    crashing_fleet fleet{45, 3};
+    fleet.crash_engines();
+    BOOST_TEST(fleet.crashed.size() <= 6U);
+    BOOST_TEST(fleet.is_refused_everywhere("a0:50,d0:20"));
+    BOOST_TEST(fleet.request(fleet.any_node(), "a0:50,b0:20"));
+}
+
 } // namespace eelgrassbend
