Decide on crash evidence earlier and do not repeat a suspected stream

Cause: the settle time counted from the crash that completed the evidence, though answers that refute a suspicion are reported from the first crash on; and a stream lost between its head and its first event was repeated at once.

Change: the settle time counts from the first crash of a set, and the last one counted must be 0.5 s old, two digests. A stream that is lost after its head and before an event is repeated only if its parts were answered lately. An answer shortly before a decision, of which a report arrives after it, refutes the decision as it refutes the crashes.

Ruled out: two crashes as evidence (a caller's repeat meets a second crash by chance), repeating after the probe's answer (the crash is then certain and the repeat worse).

--- a/include/eelgrassbend/quarantine/crash_analysis.h
+++ b/include/eelgrassbend/quarantine/crash_analysis.h
@@ -18,7 +18,7 @@
 
 /// Returns the sets of parts that explain crashes: each is common to suspects of two requests and
 /// of three crashes at different moments, or of five if some of these suspects have further parts
-/// in common. Crashes within the last `settle_time` do not count yet.
+/// in common. A set is returned when `settle_time` has passed since the first of its crashes.
 std::vector<part_keys> find_common_parts(std::vector<crash_observation> observations,
                                          duration settle_time, monotonic_time now);
 
--- a/include/eelgrassbend/quarantine/part_quarantine.h
+++ b/include/eelgrassbend/quarantine/part_quarantine.h
@@ -39,6 +39,8 @@
     /// Time until requests with these parts may be tried again; empty if they may be sent now. The
     /// call that finds a quarantine run out starts a trial.
     std::optional<duration> admit(const part_keys& parts, monotonic_time now);
+    /// Whether no request with one of the parts has been answered lately.
+    [[nodiscard]] bool has_unproven_part(const part_keys& parts, monotonic_time now) const;
     /// Whether a request that has been sent before must not be sent again.
     [[nodiscard]] bool is_quarantined(const part_keys& parts) const;
 
@@ -53,8 +55,6 @@
 
     /// All sets in quarantine.
     [[nodiscard]] std::vector<quarantined_set> quarantined(monotonic_time now) const;
-    /// Whether an answer to a request with these parts has arrived since `decided_at`.
-    [[nodiscard]] bool is_refuted(const part_keys& parts, monotonic_time decided_at) const;
 
 private:
     using suspect_key = std::pair<crash_id, std::uint64_t>; ///< crash and request
@@ -89,6 +89,9 @@
     bool clear_suspects(part_key part, monotonic_time answered_at);
     void report_answer(part_key part, const answer_state& answer, monotonic_time now);
     void prune_answers();
+    /// Whether requests with each of these parts were answered shortly before `decided_at` or
+    /// since.
+    [[nodiscard]] bool is_refuted(const part_keys& parts, monotonic_time decided_at) const;
     void drop_refuted(monotonic_time now);
     void drop_old(monotonic_time now);
     /// Starts the quarantine of a set again if it crashed an endpoint in a trial.
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -149,8 +149,9 @@
     int endpoints_tried = 0;
     int attempts_lost_before_event = 0;
     bool may_have_run = false;
-    bool is_new_run = true; ///< the current attempt starts at the first event
-    bool has_event = false; ///< the current attempt has received an event or its answer
+    bool is_new_run = true;    ///< the current attempt starts at the first event
+    bool is_suspected = false; ///< its answer had begun when an endpoint was lost
+    bool has_event = false;    ///< the current attempt has received an event or its answer
     bool is_usage_counted = false;
     bool is_demand_counted = false;
     bool is_stream_started = false;
--- a/lib/quarantine/crash_analysis.cpp
+++ b/lib/quarantine/crash_analysis.cpp
@@ -17,6 +17,9 @@
 /// Crashes closer together count as one: endpoints that share a host or a rack fail together
 /// whatever they are working on.
 static constexpr std::chrono::milliseconds min_crash_distance{200};
+/// Time from the crash that completes the evidence to the decision, in which reports of the same
+/// crashes, and of answers since, arrive from other nodes.
+static constexpr std::chrono::milliseconds report_delay{500};
 /// Newest observations that are compared; bounds the number of triples.
 static constexpr std::size_t max_compared = 24;
 
@@ -100,14 +103,18 @@
     return false;
 }
 
-/// Whether enough crashes at different moments happened before `settled_before`. `times` is sorted.
+/// Whether enough crashes happened at different moments, the first of them before
+/// `settled_before`. `times` is sorted.
 static bool has_crashes(const std::vector<monotonic_time>& times, std::size_t needed,
-                        monotonic_time settled_before)
+                        monotonic_time settled_before, monotonic_time now)
 {
+    if (times.empty() || times.front() > settled_before) {
+        return false;
+    }
     std::size_t moments = 0;
     std::optional<monotonic_time> last;
     for (const auto time : times) {
-        if (time <= settled_before && (!last || time - *last >= min_crash_distance)) {
+        if (time <= now - report_delay && (!last || time - *last >= min_crash_distance)) {
             ++moments;
             last = time;
         }
@@ -118,7 +125,7 @@
 /// Returns the candidate for a set if there is enough evidence that is old enough.
 static std::optional<candidate> assess(const part_keys& parts,
                                        const std::vector<crash_observation>& observations,
-                                       monotonic_time settled_before)
+                                       monotonic_time settled_before, monotonic_time now)
 {
     candidate assessed{parts, {}};
     std::vector<const crash_observation*> supporting;
@@ -136,21 +143,21 @@
     std::sort(times.begin(), times.end());
     const auto needed = has_finer_set(parts, supporting) ? min_ambiguous_crashes : min_crashes;
     const bool is_proven =
-        requests.size() >= min_requests && has_crashes(times, needed, settled_before);
+        requests.size() >= min_requests && has_crashes(times, needed, settled_before, now);
     return is_proven ? std::optional{std::move(assessed)} : std::nullopt;
 }
 
 /// Returns the largest proven set; of several, the one that explains most crashes.
 static std::optional<candidate> find_best(const std::set<part_keys>& sets,
                                           const std::vector<crash_observation>& observations,
-                                          monotonic_time settled_before)
+                                          monotonic_time settled_before, monotonic_time now)
 {
     std::optional<candidate> best;
     for (const auto& parts : sets) {
         if (best && parts.size() < best->parts.size()) {
             continue;
         }
-        auto assessed = assess(parts, observations, settled_before);
+        auto assessed = assess(parts, observations, settled_before, now);
         if (assessed && (!best || parts.size() > best->parts.size() ||
                          assessed->crashes.size() > best->crashes.size())) {
             best = std::move(assessed);
@@ -163,7 +170,8 @@
 /// endpoints also occurs beside other parts than in the explained crashes.
 static void add_wider_explanation(const std::vector<crash_observation>& unexplained,
                                   const std::vector<crash_observation>& observations,
-                                  monotonic_time settled_before, std::vector<part_keys>& found)
+                                  monotonic_time settled_before, monotonic_time now,
+                                  std::vector<part_keys>& found)
 {
     std::set<part_keys> contexts{found.begin(), found.end()};
     for (const auto& observed : unexplained) {
@@ -173,7 +181,7 @@
     for (const auto& parts : contexts) {
         given.push_back(&parts);
     }
-    if (const auto wider = find_best(common_sets(given), observations, settled_before)) {
+    if (const auto wider = find_best(common_sets(given), observations, settled_before, now)) {
         found.push_back(wider->parts);
     }
 }
@@ -190,14 +198,15 @@
     const auto settled_before = now - settle_time;
     auto unexplained = observations;
     std::vector<part_keys> found;
-    while (const auto best = find_best(common_sets(unexplained), unexplained, settled_before)) {
+    while (const auto best =
+               find_best(common_sets(unexplained), unexplained, settled_before, now)) {
         found.push_back(best->parts);
         std::erase_if(unexplained, [&](const crash_observation& observed) {
             return best->crashes.contains(observed.crash);
         });
     }
     if (!found.empty()) {
-        add_wider_explanation(unexplained, observations, settled_before, found);
+        add_wider_explanation(unexplained, observations, settled_before, now, found);
     }
     return found;
 }
--- a/lib/quarantine/part_quarantine.cpp
+++ b/lib/quarantine/part_quarantine.cpp
@@ -14,8 +14,8 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-/// Time between the crash that completes the evidence and the decision, in which answers that
-/// refute it arrive, also from nodes of other groups.
+/// Time between the first crash and the decision, in which other nodes, also those of other groups,
+/// report answers that refute the suspicion.
 static constexpr seconds settle_time{1};
 /// An answer refutes crashes up to this long after it: it shows that the part itself is harmless.
 static constexpr seconds answer_validity{10};
@@ -48,6 +48,12 @@
 static constexpr std::size_t max_reported_answers = 8;
 static constexpr std::size_t max_reported_quarantines = 2;
 
+/// Whether an answer at `answered_at` refutes a crash or a decision.
+static bool refutes(monotonic_time answered_at, monotonic_time suspected_at)
+{
+    return answered_at + answer_validity >= suspected_at;
+}
+
 static bool contains_all(const part_keys& whole, const part_keys& parts)
 {
     return std::includes(whole.begin(), whole.end(), parts.begin(), parts.end());
@@ -126,8 +132,7 @@
 {
     std::erase_if(state.suspect.parts, [&](part_key part) {
         const auto found = this->answers.find(part);
-        if (found == this->answers.end() ||
-            found->second.answered_at + answer_validity < state.crashed_at) {
+        if (found == this->answers.end() || !refutes(found->second.answered_at, state.crashed_at)) {
             return false;
         }
         if (found->second.is_own && !state.is_own) {
@@ -153,7 +158,7 @@
     }
     bool is_refuting = this->clear_suspects(part, known.answered_at);
     for (const auto& [parts, state] : this->quarantines) {
-        is_refuting = is_refuting || (known.answered_at > state.decided_at &&
+        is_refuting = is_refuting || (refutes(known.answered_at, state.decided_at) &&
                                       std::binary_search(parts.begin(), parts.end(), part));
     }
     if (is_refuting) {
@@ -170,7 +175,7 @@
         auto& parts = entry->second.suspect.parts;
         const auto found = std::lower_bound(parts.begin(), parts.end(), part);
         if (found != parts.end() && *found == part &&
-            answered_at + answer_validity >= entry->second.crashed_at) {
+            refutes(answered_at, entry->second.crashed_at)) {
             parts.erase(found);
             is_refuting = true;
         }
@@ -206,7 +211,7 @@
 {
     return std::all_of(parts.begin(), parts.end(), [&](part_key part) {
         const auto found = this->answers.find(part);
-        return found != this->answers.end() && found->second.answered_at > decided_at;
+        return found != this->answers.end() && refutes(found->second.answered_at, decided_at);
     });
 }
 
@@ -346,6 +351,14 @@
     }
 }
 
+bool part_quarantine::has_unproven_part(const part_keys& parts, monotonic_time now) const
+{
+    return std::any_of(parts.begin(), parts.end(), [&](part_key part) {
+        const auto found = this->answers.find(part);
+        return found == this->answers.end() || !refutes(found->second.answered_at, now);
+    });
+}
+
 const part_keys* part_quarantine::find_quarantined(const part_keys& parts) const
 {
     for (const auto& [set, state] : this->quarantines) {
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -35,8 +35,7 @@
 static constexpr int ranks_per_priority = 2;
 /// Requests with an objective above this rank after shorter ones of their priority.
 static constexpr std::chrono::milliseconds short_objective_limit{800};
-/// Attempts of one request that may be lost before an event. The request itself may be the cause,
-/// so it is not sent to further endpoints.
+/// Attempts of one request that may be lost before an event; the request itself may be the cause.
 static constexpr int max_attempts_lost_before_event = 2;
 
 forward_flow::forward_flow(const forward_services& services, forwarded_request request,
@@ -262,6 +261,7 @@
     return this->request.matched_route->is_repeatable() &&
            this->endpoints_tried < this->request.matched_route->max_endpoints &&
            this->attempts_lost_before_event < max_attempts_lost_before_event &&
+           !this->is_suspected &&
            !this->services.quarantine.is_quarantined(this->request.shared_parts);
 }
 
--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -55,10 +55,15 @@
     }
 }
 
+// A stream that is lost between its head and its first event is the most likely cause of a crash,
+// so it is repeated only if other requests with its parts were answered.
 void forward_flow::handle_attempt_lost(const error& reason)
 {
     if (!this->has_event) {
         ++this->attempts_lost_before_event;
+        this->is_suspected = this->is_stream() && this->answer &&
+                             this->services.quarantine.has_unproven_part(this->request.shared_parts,
+                                                                         this->services.time.now());
         const auto* known = this->services.endpoints.find(this->current_placement.endpoint);
         this->services.crashes.handle_lost_attempt(
             {this->current_placement.endpoint, known != nullptr ? known->record.started : 0,
--- a/unittests/serving/forward_crash_test.cpp
+++ b/unittests/serving/forward_crash_test.cpp
@@ -86,13 +86,30 @@
     this->apply();
     const auto answer = this->send_prompt("/short/1", "ad1");
     for (int lost = 0; lost < 2; ++lost) {
-        this->head();
         this->fail(dispatch_state::maybe_sent);
         BOOST_TEST(this->client.attempts.size() == 2U);
     }
     BOOST_TEST(answer->status == 502);
 }
 
+BOOST_FIXTURE_TEST_CASE(repeats_a_stream_lost_at_its_start_only_if_its_parts_were_answered,
+                        crash_fixture)
+{
+    const auto suspected = this->send_prompt("/short/1", "ad1");
+    this->head();
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_TEST(this->client.attempts.size() == 1U);
+    BOOST_TEST(suspected->status == 502);
+    this->send_prompt("/short/1", "a2");
+    this->head();
+    this->body("id: 1\ndata: x\n\n");
+    this->complete();
+    this->send_prompt("/short/1", "a3");
+    this->head();
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_TEST(this->client.attempts.size() == 4U);
+}
+
 BOOST_FIXTURE_TEST_CASE(does_not_repeat_a_request_whose_parts_are_in_quarantine, crash_fixture)
 {
     const auto waiting = this->send_prompt("/short/1", "ad0");
