Do not pass on a stream without events as complete

What callers would have seen: a complete, empty answer with status 200 where the engine crashed before the first event of such a stream.

Cause: the end of the connection ends a close-delimited answer, and only a stream that ended within an event counted as broken off. A run produces at least one event, so one that ends before it is incomplete; a resumed run may end at once.

Evidence: a_stream_that_ends_before_its_first_event_is_not_complete failed before (status 200 in place of 502, and no second attempt on a resumable route). New beside it, passing before as well: resumes_a_stream_that_ends_within_an_event, a_resumed_stream_may_end_without_further_events, a_close_delimited_answer_that_is_reset_fails, a_connection_is_not_reused_after_a_close_delimited_answer, a_close_delimited_answer_to_another_attempt_fails.

--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -95,6 +95,8 @@
     void handle_stall_timeout();
     void forward_events(std::string_view bytes);
     void start_stream();
+    /// Why the stream that has ended is incomplete; null if it is complete.
+    [[nodiscard]] const char* stream_end_defect() const;
     /// The endpoint has produced a part of its answer.
     void handle_answer_produced();
     void handle_attempt_refused();
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -383,10 +383,9 @@
     if (this->handle_end_in_migration()) {
         return;
     }
-    if (this->events.is_within_event()) {
+    if (const auto* defect = this->stream_end_defect()) {
         this->handle_attempt_lost(make_error(errc::truncated, "read event stream",
-                                             this->current_placement.endpoint.value(),
-                                             "stream ended within an event"));
+                                             this->current_placement.endpoint.value(), defect));
         return;
     }
     this->start_stream();
@@ -395,6 +394,19 @@
     this->close("answered");
 }
 
+// A close-delimited stream of an engine that crashes ends like a complete one. Every run produces
+// at least one event; a resumed one may have no more to send.
+const char* forward_flow::stream_end_defect() const
+{
+    if (this->events.is_within_event()) {
+        return "stream ended within an event";
+    }
+    if (this->is_new_run && !this->has_event) {
+        return "stream ended before its first event";
+    }
+    return nullptr;
+}
+
 // Retries a server error at another endpoint if the route and the retry budget allow it.
 void forward_flow::deliver()
 {
--- a/unittests/net/asio_endpoint_client_test.cpp
+++ b/unittests/net/asio_endpoint_client_test.cpp
@@ -43,6 +43,12 @@
 
     void close_after_answer() { this->is_closing_after_answer = true; }
 
+    void reset_after_answer()
+    {
+        this->is_closing_after_answer = true;
+        this->is_resetting = true;
+    }
+
     int accepted_connections = 0;
 
 private:
@@ -80,6 +86,10 @@
                 connection->input.erase(0, length);
                 asio::async_write(connection->socket, asio::buffer(connection->output),
                                   [this, connection](boost::system::error_code, std::size_t) {
+                                      if (this->is_resetting) {
+                                          connection->socket.set_option(
+                                              asio::socket_base::linger{true, 0});
+                                      }
                                       if (this->is_closing_after_answer) {
                                           connection->socket.close();
                                           return;
@@ -93,6 +103,7 @@
     responder respond;
     std::vector<std::shared_ptr<server_connection>> connections;
     bool is_closing_after_answer = false;
+    bool is_resetting = false;
 };
 
 class recording_observer : public attempt_observer {
@@ -324,13 +335,16 @@
     BOOST_TEST(server.accepted_connections == 2);
 }
 
+/// An answer with neither a length nor chunks, which ends with its connection.
+static std::string close_delimited_hello(const std::string& request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt_in(request) + "\r\n\r\nhello";
+}
+
 BOOST_FIXTURE_TEST_CASE(close_delimited_bodies_can_be_allowed, permissive_fixture)
 {
     this->limits.allows_close_delimited_bodies = true;
-    scripted_server server{this->context, [](const std::string& request) {
-                               return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt_in(request) +
-                                      "\r\n\r\nhello";
-                           }};
+    scripted_server server{this->context, close_delimited_hello};
     server.close_after_answer();
     recording_observer observer;
     this->run_permissive(server.address(), this->request("r/1"), observer);
@@ -338,6 +352,47 @@
     BOOST_TEST(observer.text == "hello");
 }
 
+BOOST_FIXTURE_TEST_CASE(a_close_delimited_answer_that_is_reset_fails, permissive_fixture)
+{
+    this->limits.allows_close_delimited_bodies = true;
+    scripted_server server{this->context, close_delimited_hello};
+    server.reset_after_answer();
+    recording_observer observer;
+    this->run_permissive(server.address(), this->request("r/1"), observer);
+    BOOST_TEST(!observer.is_complete);
+    BOOST_TEST((observer.sent_state == dispatch_state::maybe_sent));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_connection_is_not_reused_after_a_close_delimited_answer,
+                        permissive_fixture)
+{
+    this->limits.allows_close_delimited_bodies = true;
+    scripted_server server{this->context, close_delimited_hello};
+    server.close_after_answer();
+    for (const char* attempt : {"r/1", "r/2"}) {
+        recording_observer observer;
+        this->run_permissive(server.address(), this->request(attempt), observer);
+        BOOST_TEST(observer.is_complete);
+        BOOST_TEST(observer.text == "hello");
+    }
+    BOOST_TEST(server.accepted_connections == 2);
+}
+
+// Without a length, bytes that follow on the connection cannot be told from the answer.
+BOOST_FIXTURE_TEST_CASE(a_close_delimited_answer_to_another_attempt_fails, permissive_fixture)
+{
+    this->limits.allows_close_delimited_bodies = true;
+    scripted_server server{this->context, [](const std::string& request) {
+                               return close_delimited_hello("X-Attempt-Id: earlier/1\r\n\r\n") +
+                                      answer_for(attempt_in(request), "hello", 5);
+                           }};
+    server.close_after_answer();
+    recording_observer observer;
+    this->run_permissive(server.address(), this->request("r/1"), observer);
+    BOOST_TEST(!observer.is_complete);
+    BOOST_TEST(observer.text.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_missing_attempt_id_can_be_allowed, permissive_fixture)
 {
     this->limits.allows_missing_attempt_id = true;
--- a/unittests/serving/forward_flow_test.cpp
+++ b/unittests/serving/forward_flow_test.cpp
@@ -172,6 +172,52 @@
     BOOST_TEST(!truncated->ended);
 }
 
+// An answer with neither a length nor chunks ends with its connection, so its end looks complete.
+BOOST_FIXTURE_TEST_CASE(resumes_a_stream_that_ends_within_an_event, forward_fixture)
+{
+    const auto answer = this->send("/short/1");
+    this->head();
+    this->body(event(1) + event(2) + "id: 3\ndata: x\n");
+    this->complete();
+    BOOST_REQUIRE(this->client.attempts.size() == 2U);
+    BOOST_TEST(this->sent_header("Last-Event") == "2");
+    this->head();
+    this->body(event(3));
+    this->complete();
+    BOOST_TEST(answer->body == event(1) + event(2) + event(3));
+    BOOST_TEST(answer->ended);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_ends_before_its_first_event_is_not_complete, forward_fixture)
+{
+    const auto answer = this->send("/long/1");
+    this->head();
+    this->complete();
+    BOOST_TEST(answer->status == 502);
+    const auto repeated = this->send("/short/1");
+    const auto sent = this->client.attempts.size();
+    this->head();
+    this->complete();
+    BOOST_REQUIRE(this->client.attempts.size() == sent + 1);
+    this->head();
+    this->body(event(1));
+    this->complete();
+    BOOST_TEST(repeated->status == 200);
+    BOOST_TEST(repeated->body == event(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_may_end_without_further_events, forward_fixture)
+{
+    const auto answer = this->send("/short/1");
+    this->head();
+    this->body(event(1));
+    this->fail(dispatch_state::maybe_sent);
+    this->head();
+    this->complete();
+    BOOST_TEST(answer->body == event(1));
+    BOOST_TEST(answer->ended);
+}
+
 BOOST_FIXTURE_TEST_CASE(aborts_a_stream_when_resumption_fails, forward_fixture)
 {
     const auto answer = this->send("/short/1");
