--- a/lib/quarantine/part_quarantine.cpp
+++ b/lib/quarantine/part_quarantine.cpp
@@ -110,6 +110,7 @@
         return;
     }
     if (is_own) {
+        this->counters.count("eelgrassbend_crash_suspects_total", {}, 1);
         this->log.write(log_level::warning, "crash_suspect",
                         {{"crash", part_name(suspect.crash.value())},
                          {"request_hash", part_name(suspect.request)},
@@ -222,6 +223,7 @@
         if (!this->is_refuted(parts, state.decided_at)) {
             return false;
         }
+        this->counters.count("eelgrassbend_quarantines_ended_total", {{"reason", "answered"}}, 1);
         this->log.write(log_level::info, "quarantine_ended",
                         {{"parts", part_names(parts)},
                          {"reason", "answered"},
@@ -240,6 +242,8 @@
         const bool is_old =
             now - state.decided_at > retention_hold_times * this->hold_time(parts, state.level);
         if (is_old) {
+            this->counters.count("eelgrassbend_quarantines_ended_total",
+                                 {{"reason", "no requests"}}, 1);
             this->log.write(log_level::info, "quarantine_ended",
                             {{"parts", part_names(parts)}, {"reason", "no requests"}});
         }
@@ -324,7 +328,7 @@
     });
     this->quarantines[parts] = {level, decided_at, {}};
     this->has_news = true;
-    this->log.write(log_level::warning, "quarantine_started",
+    this->log.write(log_level::error, "quarantine_started",
                     {{"parts", part_names(parts)},
                      {"failed_trials", level},
                      {"reason", reason},
@@ -403,6 +407,7 @@
     }
     for (auto* entry : due) {
         entry->second.next_trial = now + trial_interval;
+        this->counters.count("eelgrassbend_quarantine_trials_total", {}, 1);
         this->log.write(
             log_level::info, "quarantine_trial",
             {{"parts", part_names(entry->first)}, {"failed_trials", entry->second.level}});
--- a/unittests/logging/rate_limited_event_log_test.cpp
+++ b/unittests/logging/rate_limited_event_log_test.cpp
@@ -39,6 +39,19 @@
     BOOST_TEST(target.count("attempt_failed") == 1U);
 }
 
+// Many attempts fail at once when an engine crashes; the decision about it is logged meanwhile.
+BOOST_AUTO_TEST_CASE(warnings_do_not_use_the_budget_of_errors)
+{
+    virtual_scheduler time;
+    fake_event_log target;
+    rate_limited_event_log log{target, time, 10.0};
+    for (int index = 0; index < 100; ++index) {
+        log.write(log_level::warning, "attempt_failed", {});
+    }
+    log.write(log_level::error, "quarantine_started", {});
+    BOOST_TEST(target.count("quarantine_started") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_rate_below_the_limit_drops_no_lines)
 {
     virtual_scheduler time;
