Cancel unanswered requests when their prompt parts are quarantined

Change: when a quarantine starts, a request with its parts that has no event yet is ended and its attempt cancelled, which takes it out of the engine's queue. It is answered 502, as it may have run; one that was never sent is refused as not run. Two changes go with it: the first hold time is 2 minutes in place of 10, so that a sound part quarantined by mistake comes back sooner, and the evidence is evaluated at most ten times a second, which bounds the processor time while many engines crash.

Ruled out: leaving them, as each takes an engine down for seconds with all streams there.

Evidence: cancels_unanswered_requests_when_their_parts_are_quarantined; the tests of hold times follow the new one.

--- a/include/eelgrassbend/quarantine/part_quarantine.h
+++ b/include/eelgrassbend/quarantine/part_quarantine.h
@@ -3,6 +3,7 @@
 
 #include "eelgrassbend/quarantine/crash_report.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -27,6 +28,9 @@
     /// `self` spreads the times at which the nodes of a fleet start a trial.
     part_quarantine(event_log& log, metrics& counters, const node_id& self);
 
+    /// `handler` is called when a set has been put in quarantine.
+    void on_started(std::function<void()> handler) { this->handle_started = std::move(handler); }
+
     /// A request of this node had no event of its answer yet at the crash of its endpoint.
     void record_suspect(const crash_suspect& suspect, monotonic_time now);
     /// A request of this node has received an event of its answer.
@@ -112,7 +116,9 @@
     std::unordered_map<part_key, answer_state> answers;
     std::map<part_key, reported_answer> reported_answers;
     std::map<part_keys, quarantine_state> quarantines;
+    std::function<void()> handle_started;
     bool has_new_evidence = false;
+    monotonic_time next_decision;
     bool has_news = false;
     std::uint64_t report_count = 0;
 };
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -55,6 +55,9 @@
     /// before.
     void handle_endpoint_leaving(const endpoint_record& leaving);
 
+    /// Ends the request if its prompt parts are now in quarantine and no answer has been produced.
+    void handle_quarantine_started();
+
     /// Whether an attempt at the endpoint is in flight.
     [[nodiscard]] bool has_attempt_at(const endpoint_id& endpoint) const
     {
--- a/include/eelgrassbend/serving/forward_handler.h
+++ b/include/eelgrassbend/serving/forward_handler.h
@@ -26,6 +26,9 @@
     /// The endpoint will be reclaimed at a known time.
     void handle_endpoint_leaving(const endpoint_record& leaving);
 
+    /// Ends the requests that were admitted before their prompt parts were put in quarantine.
+    void handle_quarantine_started();
+
     [[nodiscard]] bool has_requests_at(const endpoint_id& endpoint) const;
 
     /// Refuses all later requests.
--- a/lib/fleet/crash_report_codec.h
+++ b/lib/fleet/crash_report_codec.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSBEND_LIB_FLEET_CRASH_REPORT_CODEC_H
 #define EELGRASSBEND_LIB_FLEET_CRASH_REPORT_CODEC_H
 
+#include "eelgrassbend/codec/kj_compare.h"
 #include "eelgrassbend/quarantine/crash_report.h"
 
 #include "fleet.capnp.h"
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -307,6 +307,7 @@
 gateway::gateway(const gateway_dependencies& dependencies, const gateway_settings& settings)
     : state(std::make_unique<impl>(dependencies, settings))
 {
+    this->state->quarantine.on_started([this] { this->state->front.handle_quarantine_started(); });
     this->state->endpoints.on_change([this](const endpoint_record& record, bool is_gone) {
         this->state->handle_endpoint_change(record, is_gone);
     });
--- a/lib/quarantine/part_quarantine.cpp
+++ b/lib/quarantine/part_quarantine.cpp
@@ -30,13 +30,15 @@
 static constexpr std::size_t max_quarantines = 64;
 /// A quarantine of level n lasts 2^n times this, and up to half as long again, so that the first
 /// node to start a trial informs the others before they start theirs.
-static constexpr minutes base_hold_time{10};
-static constexpr std::uint32_t max_level = 5;
+static constexpr minutes base_hold_time{2};
+static constexpr std::uint32_t max_level = 6;
 static constexpr double hold_time_spread = 0.5;
 /// Time between the trials of one node; the outcome of a trial is known by then.
 static constexpr seconds trial_interval{30};
-/// A quarantine is forgotten after this many hold times.
-static constexpr int retention_hold_times = 4;
+/// A quarantine without requests is forgotten this long after it has run out.
+static constexpr minutes retention_time{60};
+/// Shortest time between two evaluations of the evidence.
+static constexpr std::chrono::milliseconds min_decision_interval{100};
 /// Time for which evidence and new decisions are reported in every digest, as datagrams are lost.
 static constexpr seconds report_time{5};
 /// Greatest age of an answer of another node that is relayed.
@@ -240,7 +242,7 @@
     std::erase_if(this->quarantines, [&](const auto& entry) {
         const auto& [parts, state] = entry;
         const bool is_old =
-            now - state.decided_at > retention_hold_times * this->hold_time(parts, state.level);
+            now - state.decided_at > this->hold_time(parts, state.level) + retention_time;
         if (is_old) {
             this->counters.count("eelgrassbend_quarantines_ended_total",
                                  {{"reason", "no requests"}}, 1);
@@ -283,9 +285,10 @@
 
 void part_quarantine::decide(monotonic_time now)
 {
-    if (!this->has_new_evidence) {
+    if (!this->has_new_evidence || now < this->next_decision) {
         return;
     }
+    this->next_decision = now + min_decision_interval;
     std::vector<crash_observation> observations;
     bool is_settled = true;
     for (const auto& [key, state] : this->suspects) {
@@ -309,7 +312,7 @@
     const bool is_new = known == this->quarantines.end();
     const bool is_covered = is_new && this->find_quarantined(parts) != nullptr;
     if (parts.empty() || is_covered || (!is_new && level <= known->second.level) ||
-        now - decided_at > retention_hold_times * this->hold_time(parts, level)) {
+        now - decided_at > this->hold_time(parts, level) + retention_time) {
         return;
     }
     if (this->is_refuted(parts, decided_at)) {
@@ -334,6 +337,9 @@
                      {"reason", reason},
                      {"hold_s", whole_milliseconds(this->hold_time(parts, level)) / 1000}});
     this->counters.count("eelgrassbend_quarantines_total", {{"reason", reason}}, 1);
+    if (this->handle_started) {
+        this->handle_started();
+    }
 }
 
 void part_quarantine::end_failed_trials(const suspect_state& state, monotonic_time now)
--- a/lib/serving/forward_handler.cpp
+++ b/lib/serving/forward_handler.cpp
@@ -44,6 +44,14 @@
     }
 }
 
+void forward_handler::handle_quarantine_started()
+{
+    const auto running = this->flows;
+    for (const auto& [key, flow] : running) {
+        flow->handle_quarantine_started();
+    }
+}
+
 bool forward_handler::has_requests_at(const endpoint_id& endpoint) const
 {
     return std::any_of(this->flows.begin(), this->flows.end(),
--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -9,6 +9,8 @@
 
 namespace eelgrassbend {
 
+static constexpr int status_bad_gateway = 502;
+
 // Reports of the endpoint about itself are valid whatever the outcome of the request.
 void forward_flow::apply_endpoint_notices()
 {
@@ -73,6 +75,27 @@
     this->handle_attempt_failure(reason);
 }
 
+// The request may still be queued at its endpoint; cancelling the attempt takes it out of the
+// queue.
+void forward_flow::handle_quarantine_started()
+{
+    const bool is_answered = this->has_event || this->is_stream_started;
+    if (!this->is_open || is_answered ||
+        !this->services.quarantine.is_quarantined(this->request.shared_parts)) {
+        return;
+    }
+    const auto self = this->shared_from_this();
+    const auto reason = make_error(errc::unavailable, "check prompt", this->request.target.value(),
+                                   "prompt has parts that crashed endpoints");
+    const bool was_sent = this->handle != nullptr;
+    this->end_attempt(attempt_result::cancelled);
+    if (was_sent || this->may_have_run) {
+        this->give_up(status_bad_gateway, reason);
+        return;
+    }
+    this->refuse_not_run(reason, this->services.settings.max_retry_after);
+}
+
 // Only complete events count as progress, since other bytes are not forwarded to the caller. A slow
 // but live stream emits an event well within the time after which callers disconnect.
 void forward_flow::arm_stall_timer()
--- a/unittests/quarantine/part_quarantine_test.cpp
+++ b/unittests/quarantine/part_quarantine_test.cpp
@@ -262,9 +262,9 @@
 BOOST_FIXTURE_TEST_CASE(a_quarantine_that_ran_out_is_tried_by_single_requests, quarantine_fixture)
 {
     this->crash_often("d");
-    this->run_for(minutes{9});
+    this->run_for(seconds{110});
     BOOST_TEST(this->is_refused("d"));
-    this->run_for(minutes{7});
+    this->run_for(seconds{90});
     auto& node = *this->nodes[0];
     BOOST_TEST(!node.admit(keys("d"), this->now));
     BOOST_TEST(node.admit(keys("d"), this->now).has_value());
@@ -274,19 +274,19 @@
 BOOST_FIXTURE_TEST_CASE(a_failed_trial_doubles_the_hold_time_on_all_nodes, quarantine_fixture)
 {
     this->crash_often("d");
-    this->run_for(minutes{16});
+    this->run_for(seconds{200});
     BOOST_TEST(!this->nodes[0]->admit(keys("d"), this->now));
     this->crash("d");
     this->run_for(seconds{1});
     BOOST_TEST(this->is_refused("d"));
-    this->run_for(minutes{19});
+    this->run_for(seconds{230});
     BOOST_TEST(this->is_refused("d"));
 }
 
 BOOST_FIXTURE_TEST_CASE(an_answered_trial_ends_the_quarantine_on_all_nodes, quarantine_fixture)
 {
     this->crash_often("d");
-    this->run_for(minutes{16});
+    this->run_for(seconds{200});
     BOOST_TEST(!this->nodes[0]->admit(keys("d"), this->now));
     this->answer("d", 0);
     this->run_for(seconds{3});
@@ -296,6 +296,15 @@
     BOOST_TEST(this->log.count("quarantine_ended") == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_quarantine_without_requests_is_forgotten, quarantine_fixture)
+{
+    this->crash_often("d");
+    this->run_for(minutes{50});
+    BOOST_TEST(this->nodes[0]->is_quarantined(keys("d")));
+    this->run_for(minutes{15});
+    BOOST_TEST(!this->nodes[0]->is_quarantined(keys("d")));
+}
+
 BOOST_FIXTURE_TEST_CASE(memory_and_reports_are_bounded, quarantine_fixture)
 {
     for (std::uint64_t number = 0; number < 20'000; ++number) {
--- a/unittests/serving/forward_crash_test.cpp
+++ b/unittests/serving/forward_crash_test.cpp
@@ -110,6 +110,23 @@
     BOOST_TEST(this->client.attempts.size() == 4U);
 }
 
+// A request that is still queued at its endpoint would crash it later.
+BOOST_FIXTURE_TEST_CASE(cancels_unanswered_requests_when_their_parts_are_quarantined, crash_fixture)
+{
+    const auto queued = this->send_prompt("/long/1", "ad1");
+    const auto attempt = this->client.attempts.back();
+    const auto other = this->send_prompt("/long/1", "a3");
+    const auto other_attempt = this->client.attempts.back();
+    this->quarantine.on_started([this] { this->handler.handle_quarantine_started(); });
+    this->quarantine.apply(
+        {{}, {}, {{shared_part_keys(service_id{"draft"}, {{'d', 1}, {0, 1}}), 0, seconds{0}}}},
+        this->time.now());
+    BOOST_TEST(attempt->observer == nullptr);
+    BOOST_TEST(queued->status == 502);
+    BOOST_TEST(other_attempt->observer != nullptr);
+    BOOST_TEST(other->status == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(does_not_repeat_a_request_whose_parts_are_in_quarantine, crash_fixture)
 {
     const auto waiting = this->send_prompt("/short/1", "ad0");
