Keep the count of failed trials when a quarantined set changes

Change: trials are judged by all parts of the suspect, and a smaller set takes over the count of failed trials.

Evidence: a_trial_fails_although_a_part_of_the_set_is_sound failed with the first half of the change alone; it was not run without both.

--- a/lib/quarantine/part_quarantine.cpp
+++ b/lib/quarantine/part_quarantine.cpp
@@ -107,6 +107,7 @@
         return;
     }
     suspect_state state{suspect, now - suspect.age, is_own};
+    this->end_failed_trials(state, now);
     this->remove_sound_parts(state, now);
     if (state.suspect.parts.empty() || suspect.age > evidence_lifetime) {
         return;
@@ -119,7 +120,6 @@
                          {"answer_begun", suspect.has_answer_begun},
                          {"parts", part_names(state.suspect.parts)}});
     }
-    this->end_failed_trials(state, now);
     this->suspects.emplace(suspect_key{suspect.crash, suspect.request}, std::move(state));
     this->has_new_evidence = true;
     this->has_news = this->has_news || is_own;
@@ -327,7 +327,10 @@
     }
     // Requests with a larger set are refused by the smaller one.
     std::erase_if(this->quarantines, [&](const auto& entry) {
-        return entry.first.size() > parts.size() && contains_all(entry.first, parts);
+        const bool is_larger =
+            entry.first.size() > parts.size() && contains_all(entry.first, parts);
+        level = is_larger ? std::max(level, entry.second.level) : level;
+        return is_larger;
     });
     this->quarantines[parts] = {level, decided_at, {}};
     this->has_news = true;
--- a/unittests/quarantine/part_quarantine_test.cpp
+++ b/unittests/quarantine/part_quarantine_test.cpp
@@ -283,6 +283,20 @@
     BOOST_TEST(this->is_refused("d"));
 }
 
+// The node that tries knows that the other part of the set is sound.
+BOOST_FIXTURE_TEST_CASE(a_trial_fails_although_a_part_of_the_set_is_sound, quarantine_fixture)
+{
+    this->crash_often("bd");
+    this->run_for(seconds{200});
+    this->answer("b");
+    BOOST_TEST(!this->nodes[0]->admit(keys("bd"), this->now));
+    this->crash("bd");
+    this->run_for(seconds{1});
+    BOOST_TEST(this->is_refused("bd"));
+    this->run_for(seconds{230});
+    BOOST_TEST(this->is_refused("bd"));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_answered_trial_ends_the_quarantine_on_all_nodes, quarantine_fixture)
 {
     this->crash_often("d");
