Bound the keys and times of quarantine records

A set of 15 parts or more would have had a record key longer than the 255 bytes that the store's format allows, so its append would have failed; a time of decision far outside the usual range overflowed the clock's representation.

Change: the key holds a hash of the parts, and times are compared as milliseconds.

--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -115,6 +115,8 @@
     bool handle_end_in_migration();
     void resume_migrated_run();
     void handle_deadline();
+    /// Ends the request with `status`, or as not run if it was never sent.
+    void cancel_request(int status, const error& reason, duration retry_after);
     void handle_caller_disconnected();
     /// Responds that the request did not run.
     void refuse_not_run(error reason, std::optional<duration> retry_after);
--- a/lib/gateway/quarantine_records.cpp
+++ b/lib/gateway/quarantine_records.cpp
@@ -1,5 +1,7 @@
 #include "eelgrassbend/gateway/quarantine_records.h"
 
+#include "eelgrassbend/support/hash.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -13,11 +15,10 @@
 /// Pause after a failed append.
 static constexpr std::chrono::seconds append_retry_pause{1};
 
+// The names of many parts would exceed the longest key of the store.
 static std::string record_key(const part_keys& parts)
 {
-    auto key = std::string{key_prefix} + part_names(parts);
-    std::replace(key.begin(), key.end(), ' ', '-');
-    return key;
+    return std::string{key_prefix} + part_name(stable_hash(part_names(parts)));
 }
 
 static std::string encode_set(const quarantined_set& set, wall_time now)
@@ -58,7 +59,7 @@
         parsed.is_object() && parsed.contains("parts") && parsed["parts"].is_array() &&
         parsed["parts"].size() <= max_examined_parts && parsed.contains("failed_trials") &&
         parsed["failed_trials"].is_number_unsigned() && parsed.contains("decided_ms") &&
-        parsed["decided_ms"].is_number_integer();
+        parsed["decided_ms"].is_number_unsigned();
     if (!is_valid) {
         return std::nullopt;
     }
@@ -72,8 +73,10 @@
     }
     std::sort(set.parts.begin(), set.parts.end());
     set.level = parsed["failed_trials"].get<std::uint32_t>();
-    const wall_time decided{std::chrono::milliseconds{parsed["decided_ms"].get<std::int64_t>()}};
-    set.age = std::max(duration::zero(), std::chrono::duration_cast<duration>(now - decided));
+    const auto now_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count());
+    const auto decided_ms = parsed["decided_ms"].get<std::uint64_t>();
+    set.age = std::chrono::milliseconds{now_ms - std::min(now_ms, decided_ms)};
     return set;
 }
 
--- a/lib/quarantine/part_quarantine.cpp
+++ b/lib/quarantine/part_quarantine.cpp
@@ -69,8 +69,8 @@
 
 /// Returns at most `count` entries; successive rounds start where the last one ended.
 template <typename Entry>
-static std::vector<Entry> take_turn(const std::vector<Entry>& entries, std::size_t count,
-                                    std::uint64_t round)
+static std::vector<Entry> rotate_entries(const std::vector<Entry>& entries, std::size_t count,
+                                         std::uint64_t round)
 {
     if (entries.size() <= count) {
         return entries;
@@ -442,7 +442,7 @@
             report.suspects.back().age = now - state.crashed_at;
         }
     }
-    report.suspects = take_turn(report.suspects, max_reported_suspects, this->report_count);
+    report.suspects = rotate_entries(report.suspects, max_reported_suspects, this->report_count);
 }
 
 void part_quarantine::report_answers(bool is_relay, monotonic_time now, crash_report& report)
@@ -458,7 +458,7 @@
             report.sound.push_back({part, now - known->second.answered_at});
         }
     }
-    report.sound = take_turn(report.sound, max_reported_answers, this->report_count);
+    report.sound = rotate_entries(report.sound, max_reported_answers, this->report_count);
 }
 
 void part_quarantine::report_quarantined(monotonic_time now, crash_report& report)
@@ -469,9 +469,9 @@
             report.quarantined.push_back(set);
         }
     }
-    report.quarantined =
-        take_turn(report.quarantined, max_reported_quarantines,
-                  is_steady_turn ? this->report_count / steady_report_period : this->report_count);
+    report.quarantined = rotate_entries(report.quarantined, max_reported_quarantines,
+                                        is_steady_turn ? this->report_count / steady_report_period
+                                                       : this->report_count);
 }
 
 std::vector<quarantined_set> part_quarantine::quarantined(monotonic_time now) const
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -1,13 +1,14 @@
 #include "eelgrassbend/serving/forward_flow.h"
 
 #include "eelgrassbend/duties/usage_tracker.h"
-#include "eelgrassbend/limits/fleet_quota.h"
 #include "eelgrassbend/limits/retry_budget.h"
 #include "eelgrassbend/logging/event_log.h"
 #include "eelgrassbend/metrics/metrics.h"
 #include "eelgrassbend/placement/demand_tracker.h"
 #include "eelgrassbend/quarantine/part_quarantine.h"
 
+#include "forward_status.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -17,9 +18,6 @@
 
 namespace eelgrassbend {
 
-static constexpr int status_bad_gateway = 502;
-static constexpr int status_unavailable = 503;
-static constexpr int status_gateway_timeout = 504;
 /// Statuses that state that the request did not run.
 static constexpr std::array not_run_statuses{408, 421, 429, 503};
 /// A request with less time left is not sent.
@@ -394,19 +392,6 @@
     this->close("answered");
 }
 
-// A close-delimited stream of an engine that crashes ends like a complete one. Every run produces
-// at least one event; a resumed one may have no more to send.
-const char* forward_flow::stream_end_defect() const
-{
-    if (this->events.is_within_event()) {
-        return "stream ended within an event";
-    }
-    if (this->is_new_run && !this->has_event) {
-        return "stream ended before its first event";
-    }
-    return nullptr;
-}
-
 // Retries a server error at another endpoint if the route and the retry budget allow it.
 void forward_flow::deliver()
 {
@@ -510,85 +495,6 @@
     }
 }
 
-void forward_flow::handle_deadline()
-{
-    const auto reason =
-        make_error(errc::timed_out, "await answer", this->current_placement.endpoint.value(),
-                   "request deadline has passed");
-    const bool was_sent = this->handle != nullptr;
-    this->end_attempt(attempt_result::cancelled);
-    if (was_sent || this->may_have_run) {
-        this->give_up(status_gateway_timeout, reason);
-        return;
-    }
-    this->refuse_not_run(reason, this->services.settings.min_retry_after);
-}
-
-void forward_flow::handle_caller_disconnected()
-{
-    if (!this->is_open) {
-        return;
-    }
-    const auto self = this->shared_from_this();
-    this->end_attempt(attempt_result::cancelled);
-    this->close("caller_gone");
-}
-
-void forward_flow::refuse_not_run(error reason, std::optional<duration> retry_after)
-{
-    if (this->request.caller) {
-        this->services.quotas.refund(*this->request.caller, this->request.units,
-                                     this->services.time.now());
-    }
-    forward_refusal refused{status_unavailable, std::move(reason), retry_after};
-    this->request.answer->respond(refused.status, this->services.protocol.refusal_headers(refused),
-                                  {}, nullptr);
-    this->close("refused");
-}
-
-void forward_flow::give_up(int status, const error& reason)
-{
-    if (this->is_stream_started) {
-        this->request.answer->abort();
-        this->close("broken_off");
-        return;
-    }
-    forward_refusal refused{status, reason, std::nullopt};
-    this->request.answer->respond(status, this->services.protocol.refusal_headers(refused), {},
-                                  nullptr);
-    this->close("failed");
-}
-
-void forward_flow::close(const char* outcome)
-{
-    if (!std::exchange(this->is_open, false)) {
-        return;
-    }
-    const auto self = this->shared_from_this();
-    this->cancel_timer(this->deadline_timer);
-    this->cancel_timer(this->placement_timer);
-    this->cancel_timer(this->first_byte_timer);
-    this->cancel_timer(this->stall_timer);
-    this->cancel_timer(this->migration_timer);
-    this->migration.reset();
-    const auto spent = this->services.time.now() - this->request.received_at;
-    this->services.log.write(log_level::info, "answer",
-                             {{"request", this->request.fields.id.value()},
-                              {"route", this->request.matched_route->name},
-                              {"endpoint", this->current_placement.endpoint.value()},
-                              {"outcome", outcome},
-                              {"status", this->answer ? this->answer->status : 0},
-                              {"attempts", this->endpoints_tried},
-                              {"time_ms", whole_milliseconds(spent)}});
-    this->services.counters.count(
-        "eelgrassbend_requests_total",
-        {{"route", this->request.matched_route->name}, {"outcome", outcome}}, 1);
-    this->services.counters.observe("eelgrassbend_request_seconds",
-                                    {{"route", this->request.matched_route->name}},
-                                    std::chrono::duration<double>(spent).count());
-    this->on_ended(*this);
-}
-
 void forward_flow::run_after(duration delay, std::optional<timer_id> forward_flow::* timer,
                              void (forward_flow::*step)())
 {
--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -9,8 +9,6 @@
 
 namespace eelgrassbend {
 
-static constexpr int status_bad_gateway = 502;
-
 // Reports of the endpoint about itself are valid whatever the outcome of the request.
 void forward_flow::apply_endpoint_notices()
 {
@@ -75,25 +73,17 @@
     this->handle_attempt_failure(reason);
 }
 
-// The request may still be queued at its endpoint; cancelling the attempt takes it out of the
-// queue.
-void forward_flow::handle_quarantine_started()
+// A close-delimited stream of an engine that crashes ends like a complete one. Every run produces
+// at least one event; a resumed one may have no more to send.
+const char* forward_flow::stream_end_defect() const
 {
-    const bool is_answered = this->has_event || this->is_stream_started;
-    if (!this->is_open || is_answered ||
-        !this->services.quarantine.is_quarantined(this->request.shared_parts)) {
-        return;
+    if (this->events.is_within_event()) {
+        return "stream ended within an event";
     }
-    const auto self = this->shared_from_this();
-    const auto reason = make_error(errc::unavailable, "check prompt", this->request.target.value(),
-                                   "prompt has parts that crashed endpoints");
-    const bool was_sent = this->handle != nullptr;
-    this->end_attempt(attempt_result::cancelled);
-    if (was_sent || this->may_have_run) {
-        this->give_up(status_bad_gateway, reason);
-        return;
+    if (this->is_new_run && !this->has_event) {
+        return "stream ended before its first event";
     }
-    this->refuse_not_run(reason, this->services.settings.max_retry_after);
+    return nullptr;
 }
 
 // Only complete events count as progress, since other bytes are not forwarded to the caller. A slow
--- a/unittests/gateway/part_quarantine_test.cpp
+++ b/unittests/gateway/part_quarantine_test.cpp
@@ -187,4 +187,25 @@
     BOOST_TEST(fleet.request(fleet.any_node(), "a0:50,b0:20"));
 }
 
+// Other writers may write to the topic.
+BOOST_AUTO_TEST_CASE(records_that_cannot_be_decoded_are_ignored)
+{
+    crashing_fleet fleet{2};
+    for (const char* value :
+         {"", "{", "[]", R"({"parts":["zz"],"failed_trials":0,"decided_ms":1})",
+          R"({"parts":[1],"failed_trials":0,"decided_ms":1})",
+          R"({"parts":["1"],"failed_trials":-1,"decided_ms":1})",
+          R"({"parts":["1"],"failed_trials":0,"decided_ms":-9223372036854775808})"}) {
+        fleet.logs.write(node_presence::topic(), "quarantine/1", value);
+        fleet.time.run_for(seconds{6});
+    }
+    fleet.logs.write(node_presence::topic(), "quarantine/2",
+                     R"({"parts":["1"],"failed_trials":0,"decided_ms":18446744073709551615})");
+    fleet.time.run_for(seconds{6});
+    for (const auto& node : fleet.nodes) {
+        BOOST_TEST(node->log.count("quarantine_record_invalid") >= 1U);
+        BOOST_TEST(node->log.count("quarantine_started") == 1U);
+    }
+}
+
 } // namespace eelgrassbend
