Never start a moved run anew that may run only once

Cause: an attempt that was not sent, or that an endpoint refused, led to a new placement whatever had happened before. For a run that had been stopped for a migration and whose new engine was unreachable, the next placement was a new run with Last-Event-Id. The check whether a request may have run stood in one of the paths (a lost attempt) and not in the others: not sent, refused with two or more attempts allowed, and a wait for capacity. A run stopped before its head did not even count as one that may have run, and was answered as not run (REFUSED).

Change: run_history is the one place that says whether a request may be sent as a new run, and both daemons ask it before each one. A stopped run goes on at the engines that hold its KV cache, the target first and then its source, which keeps it; from there it is moved again, not to an engine that failed before. It is sent on a new connection, so that a failure to connect proves that the run was not taken over. If no holder is left, a stream that may run once ends broken off and one that may be repeated is placed anew. Each failed holder is logged (run_not_continued) and counted.

--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -8,6 +8,7 @@
 #include "eelgrassbend/serving/exchange.h"
 #include "eelgrassbend/serving/forward_protocol.h"
 #include "eelgrassbend/serving/forward_services.h"
+#include "eelgrassbend/serving/run_history.h"
 #include "eelgrassbend/serving/run_migrator.h"
 #include "eelgrassbend/serving/sse.h"
 #include "eelgrassbend/support/byte_budget.h"
@@ -18,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace eelgrassbend {
 
@@ -77,6 +79,13 @@
         bool is_stream_ended = false; ///< the stream of the source engine
     };
 
+    /// A stopped run that an engine with a copy of its KV cache continues.
+    struct run_continuation {
+        std::string kv_cache_source;
+        placement source;               ///< where the run was stopped
+        std::vector<placement> holders; ///< of the KV cache, not tried yet; the last one is next
+    };
+
     [[nodiscard]] bool is_stream() const;
     [[nodiscard]] monotonic_time deadline() const;
     [[nodiscard]] bool can_repeat_attempt() const;
@@ -85,6 +94,8 @@
     /// Maximum wait behind other prompts at the chosen engine.
     [[nodiscard]] std::optional<duration> max_prompt_wait() const;
     void choose_endpoint();
+    /// Whether the request may be sent to an endpoint as a new run.
+    [[nodiscard]] bool may_start_run() const;
     void wait_for_capacity(const placement_answer& found);
     void dispatch(const placement& chosen);
     [[nodiscard]] endpoint_request make_attempt_request(const placement& chosen) const;
@@ -114,6 +125,9 @@
     /// Records the end of the stream if a migration is in flight; returns whether one is.
     bool handle_end_in_migration();
     void resume_migrated_run();
+    void continue_run();
+    /// The engine that was to continue the run has not begun to.
+    void handle_continuation_failed(const error& reason);
     void handle_deadline();
     /// Ends the request with `status`, or as not run if it was never sent.
     void cancel_request(int status, const error& reason, duration retry_after);
@@ -150,12 +164,13 @@
     std::optional<timer_id> stall_timer;
     std::optional<timer_id> migration_timer;
     std::optional<run_migration> migration;
-    std::string kv_cache_source;                      ///< for the next attempt of a migrated run
+    std::optional<run_continuation> continuation;     ///< until an engine has continued the run
+    std::set<endpoint_id> failed_targets;             ///< of migrations of this run
     std::optional<forward_answer_fields> stream_head; ///< of the run whose events are forwarded
     std::optional<monotonic_time> waiting_since;
     int endpoints_tried = 0;
     int attempts_lost_before_event = 0;
-    bool may_have_run = false;
+    run_history runs;
     bool is_new_run = true;    ///< the current attempt starts at the first event
     bool is_suspected = false; ///< its answer had begun when an endpoint was lost
     bool has_event = false;    ///< the current attempt has received an event or its answer
--- a/include/eelgrassbend/serving/request_flow.h
+++ b/include/eelgrassbend/serving/request_flow.h
@@ -8,6 +8,7 @@
 #include "eelgrassbend/routing/router.h"
 #include "eelgrassbend/serving/exchange.h"
 #include "eelgrassbend/serving/refusal.h"
+#include "eelgrassbend/serving/run_history.h"
 #include "eelgrassbend/serving/serving_services.h"
 #include "eelgrassbend/support/scheduler.h"
 
@@ -123,7 +124,7 @@
     [[nodiscard]] bool is_open() const { return this->open; }
 
     /// Whether an endpoint may have run the request.
-    [[nodiscard]] bool may_have_run() const { return this->may_have_begun || this->handle; }
+    [[nodiscard]] bool may_have_run() const { return this->runs.may_have_run() || this->handle; }
 
     const serving_services& services;
     admitted_request admitted;
@@ -163,7 +164,7 @@
     bool awaits_first_progress = true;
     bool has_hedge_started = false;
     bool has_dispatched = false;
-    bool may_have_begun = false; ///< an ended attempt or another flow may have run the request
+    run_history runs; ///< of ended attempts, also by another flow
     bool open = true;
     bool delivering = false;
 };
--- a/lib/serving/forward_end.cpp
+++ b/lib/serving/forward_end.cpp
@@ -24,7 +24,7 @@
 {
     const bool was_sent = this->handle != nullptr;
     this->end_attempt(attempt_result::cancelled);
-    if (was_sent || this->may_have_run) {
+    if (was_sent || this->runs.may_have_run()) {
         this->give_up(status, reason);
         return;
     }
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -120,8 +120,22 @@
     return this->request.service != nullptr ? this->request.service->engine : std::nullopt;
 }
 
+// The parts of the prompt may have been quarantined since the request was admitted.
+bool forward_flow::may_start_run() const
+{
+    return this->runs.may_start_run(this->request.matched_route->is_repeatable()) &&
+           !(this->runs.may_have_run() &&
+             this->services.quarantine.is_quarantined(this->request.shared_parts));
+}
+
 void forward_flow::choose_endpoint()
 {
+    if (!this->may_start_run()) {
+        this->give_up(status_bad_gateway,
+                      make_error(errc::outcome_unknown, "choose endpoint",
+                                 this->request.target.value(), "the request may have run"));
+        return;
+    }
     const auto found = this->services.places.choose(this->make_placement_request(), this->engine(),
                                                     this->services.time.now());
     this->count_demand(found);
@@ -167,7 +181,7 @@
     const auto reason =
         make_error(errc::unavailable, "place request", this->request.target.value(),
                    is_full ? "all endpoints are full" : "no endpoint accepts requests");
-    if (this->may_have_run) {
+    if (this->runs.may_have_run()) {
         this->give_up(status_bad_gateway, reason);
         return;
     }
@@ -183,12 +197,14 @@
     this->buffer_reservation.clear();
     this->events.reset();
     this->has_event = false;
-    this->is_new_run = this->kv_cache_source.empty() && this->last_event.empty();
+    this->is_new_run = !this->continuation && this->last_event.empty();
     const auto now = this->services.time.now();
     if (this->deadline() - now < min_time_left) {
         return; // the deadline timer is about to fire
     }
-    ++this->endpoints_tried;
+    if (!this->continuation) {
+        ++this->endpoints_tried;
+    }
     this->excluded.insert(chosen.endpoint);
     this->log_placement(chosen);
     this->attempt =
@@ -198,7 +214,6 @@
     }
     this->handle =
         this->services.client.dispatch(chosen.address, this->make_attempt_request(chosen), *this);
-    this->kv_cache_source.clear();
     this->arm_first_byte_timer(chosen);
 }
 
@@ -209,9 +224,11 @@
     attempt_fields.organisation = this->request.caller.value_or(organisation_id{});
     attempt_fields.time_left = this->deadline() - this->services.time.now();
     attempt_fields.last_event = this->last_event;
-    attempt_fields.kv_cache_source = this->kv_cache_source;
-    if (!this->kv_cache_source.empty() && this->last_event.empty()) {
-        attempt_fields.last_event = before_first_event;
+    if (this->continuation) {
+        attempt_fields.kv_cache_source = this->continuation->kv_cache_source;
+        if (this->last_event.empty()) {
+            attempt_fields.last_event = before_first_event;
+        }
     }
     if (this->engine()) {
         const bool is_long = this->request.matched_route->objective > short_objective_limit;
@@ -225,6 +242,8 @@
     attempt_request.headers =
         this->services.protocol.endpoint_headers(this->request.http, attempt_fields);
     attempt_request.body = this->request.http.body;
+    // A failure to connect then proves that the engine has not continued the run.
+    attempt_request.needs_new_connection = this->continuation.has_value();
     return attempt_request;
 }
 
@@ -290,7 +309,8 @@
         this->handle_attempt_refused();
         return;
     }
-    this->may_have_run = true;
+    this->runs.record_possible_run();
+    this->continuation.reset();
     this->handle_answer_started();
     const bool claims_not_run = std::find(not_run_statuses.begin(), not_run_statuses.end(),
                                           status) != not_run_statuses.end();
@@ -427,14 +447,18 @@
     }
     if (dispatched == dispatch_state::not_sent) {
         this->end_attempt(attempt_result::failed);
-        --this->endpoints_tried;
         this->services.log.write(
             log_level::warning, "endpoint_unreachable",
             {{"request", this->request.fields.id.value()}, {"error", reason.to_string()}});
+        if (this->continuation) {
+            this->handle_continuation_failed(reason);
+            return;
+        }
+        --this->endpoints_tried;
         this->choose_endpoint();
         return;
     }
-    this->may_have_run = true;
+    this->runs.record_possible_run();
     this->count_usage();
     this->handle_attempt_lost(reason);
 }
@@ -442,16 +466,21 @@
 void forward_flow::handle_attempt_refused()
 {
     this->end_attempt(attempt_result::refused);
-    const bool may_try = this->endpoints_tried < this->request.matched_route->max_endpoints &&
+    const auto reason =
+        make_error(errc::unavailable, "call endpoint", this->current_placement.endpoint.value(),
+                   "endpoint refused the request");
+    if (this->continuation) {
+        this->handle_continuation_failed(reason);
+        return;
+    }
+    const bool may_try = this->may_start_run() &&
+                         this->endpoints_tried < this->request.matched_route->max_endpoints &&
                          this->services.retries.spend(this->request.target);
     if (may_try) {
         this->repeat_attempt();
         return;
     }
-    const auto reason =
-        make_error(errc::unavailable, "call endpoint", this->current_placement.endpoint.value(),
-                   "endpoint refused the request");
-    if (this->may_have_run) {
+    if (this->runs.may_have_run()) {
         this->give_up(status_bad_gateway, reason);
         return;
     }
@@ -460,7 +489,8 @@
 
 void forward_flow::handle_attempt_failure(const error& reason)
 {
-    this->may_have_run = true;
+    this->runs.record_possible_run();
+    this->continuation.reset();
     this->end_attempt(attempt_result::failed);
     this->services.log.write(log_level::warning, "attempt_failed",
                              {{"request", this->request.fields.id.value()},
--- a/lib/serving/forward_migration.cpp
+++ b/lib/serving/forward_migration.cpp
@@ -53,10 +53,12 @@
         return;
     }
     auto query = this->make_placement_request();
-    query.excluded = {this->current_placement.endpoint};
+    query.excluded = this->failed_targets;
+    query.excluded.insert(this->current_placement.endpoint);
     const auto found =
         this->services.places.choose(query, this->engine(), this->services.time.now());
     if (!found.chosen) {
+        this->failed_targets.clear();
         this->schedule_migration(migration_retry_interval);
         return;
     }
@@ -113,22 +115,58 @@
     return true;
 }
 
-// The same run continues: this does not count as an attempt, and the prompt is not processed again.
+// The engine where the run was stopped keeps the KV cache, also of a run that was copied.
 void forward_flow::resume_migrated_run()
 {
     const auto migrated = *std::exchange(this->migration, std::nullopt);
     this->end_attempt(attempt_result::cancelled);
+    this->runs.record_possible_run();
     this->services.counters.count("eelgrassbend_moved_runs_total",
                                   {{"service", this->request.target.value()}}, 1);
-    this->kv_cache_source = migrated.stopped->kv_cache_source;
-    --this->endpoints_tried;
-    if (!migrated.stopped->is_copied) {
-        this->dispatch(this->current_placement);
+    auto source = this->current_placement;
+    source.work.uncached_prompt = 0;
+    this->continuation = run_continuation{migrated.stopped->kv_cache_source, source, {source}};
+    if (migrated.stopped->is_copied) {
+        auto target = migrated.target;
+        target.work.uncached_prompt = 0;
+        this->continuation->holders.push_back(target);
+    }
+    this->continue_run();
+}
+
+// The same run continues: this does not count as an attempt, and the prompt is not processed again.
+// At its source, the run is to be migrated again, since that engine is leaving.
+void forward_flow::continue_run()
+{
+    const auto next = this->continuation->holders.back();
+    this->continuation->holders.pop_back();
+    if (next.endpoint == this->continuation->source.endpoint) {
+        this->schedule_migration(migration_retry_interval);
+    }
+    this->dispatch(next);
+}
+
+void forward_flow::handle_continuation_failed(const error& reason)
+{
+    const auto& failed = this->current_placement.endpoint;
+    this->services.log.write(log_level::warning, "run_not_continued",
+                             {{"request", this->request.fields.id.value()},
+                              {"endpoint", failed.value()},
+                              {"last_event", this->last_event},
+                              {"holders_left", this->continuation->holders.size()},
+                              {"error", reason.to_string()}});
+    this->services.counters.count("eelgrassbend_runs_not_continued_total",
+                                  {{"service", this->request.target.value()}}, 1);
+    if (failed != this->continuation->source.endpoint) {
+        this->failed_targets.insert(failed);
+    }
+    if (!this->continuation->holders.empty()) {
+        this->continue_run();
         return;
     }
-    auto target = migrated.target;
-    target.work.uncached_prompt = 0;
-    this->dispatch(target);
+    this->continuation.reset();
+    this->cancel_timer(this->migration_timer);
+    this->choose_endpoint();
 }
 
 } // namespace eelgrassbend
--- a/lib/serving/hedging.cpp
+++ b/lib/serving/hedging.cpp
@@ -157,7 +157,7 @@
                               {"endpoint", dropped->target.id.value()},
                               {"failed", outcome == attempt_end::failed}});
     dropped->handle.reset();
-    this->may_have_begun = true;
+    this->runs.record_possible_run();
     this->services.routes.on_ended(dropped->id, outcome);
 }
 
--- a/lib/serving/request_flow.cpp
+++ b/lib/serving/request_flow.cpp
@@ -61,6 +61,13 @@
     if (!this->open) {
         return;
     }
+    if (!this->runs.may_start_run(this->is_repeatable())) {
+        this->refuse_request(make_error(errc::outcome_unknown, "start attempt",
+                                        this->admitted.service->id.value(),
+                                        "the request may have run"),
+                             this->outcome_so_far());
+        return;
+    }
     auto query = this->make_route_request();
     query.excluded = this->excluded;
     auto chosen = this->services.routes.choose(query);
@@ -167,7 +174,7 @@
 {
     if (this->handle) {
         this->handle.reset();
-        this->may_have_begun = true;
+        this->runs.record_possible_run();
         this->services.routes.on_ended(this->attempt, outcome);
     }
     if (this->migration_timer) {
@@ -178,10 +185,10 @@
 
 void request_flow::handle_attempt_failure(const error& reason, dispatch_state dispatched)
 {
-    const bool began_before = this->may_have_begun;
+    const auto runs_before = this->runs;
     this->cancel_attempt(attempt_end::failed);
-    this->may_have_begun = began_before || dispatched == dispatch_state::maybe_sent;
     if (dispatched == dispatch_state::not_sent) {
+        this->runs = runs_before;
         this->handle_attempt_not_sent();
     }
     this->services.log.write(log_level::warning, "attempt_failed",
@@ -192,8 +199,7 @@
                               {"error", reason.to_string()}});
     this->services.counters.count("eelgrassbend_attempt_failures_total",
                                   {{"service", this->admitted.service->id.value()}}, 1);
-    const bool may_repeat = dispatched == dispatch_state::not_sent || this->is_repeatable();
-    if (!may_repeat) {
+    if (!this->runs.may_start_run(this->is_repeatable())) {
         this->refuse_request(reason, this->outcome_so_far());
         return;
     }
@@ -317,7 +323,7 @@
     // The request was accepted by another flow and may have run there: it is retried until its
     // deadline and never refused as not run.
     this->has_dispatched = true;
-    this->may_have_begun = true;
+    this->runs.record_possible_run();
 }
 
 ledger_line request_flow::make_ledger_line(token_count prompt, token_count output,
@@ -345,7 +351,7 @@
     this->delivering = true;
     this->drop_hedge(attempt_end::cancelled);
     this->handle.reset();
-    this->may_have_begun = true;
+    this->runs.record_possible_run();
     this->services.routes.on_ended(this->attempt, attempt_end::completed);
     const auto price = line.price;
     this->services.usage_ledger.intend(
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -253,6 +253,19 @@
     int sent = 0;
 };
 
+/// A fixture whose endpoints can announce that they will be reclaimed.
+struct leaving_fixture : forward_fixture {
+    /// Announces the reclamation of the latest attempt's endpoint.
+    void announce(duration leaves_in)
+    {
+        auto leaving = this->endpoints.find(endpoint_id{this->endpoint()})->record;
+        leaving.is_draining = true;
+        this->endpoints.put(leaving, this->time.now());
+        leaving.reclaim_in = leaves_in;
+        this->handler.handle_endpoint_leaving(leaving);
+    }
+};
+
 } // namespace eelgrassbend
 
 #endif
