Take no answer as sound before its engine has lived on

Callers of other streams lost them again and again: a part of a prompt that crashes each engine right after the first event of its answer was never refused, and each request with it took an engine down.

Cause: the first event of an answer was taken as proof that the parts of its prompt are harmless, and an attempt lost after an event was not examined. A crash under such a part therefore produced no suspect and refuted the earlier ones for ten seconds.

Ruled out: lost reports between nodes (the fault shows with one node's evidence too); a wrong common set (no suspect was recorded at all).

Change: crash_detector keeps an answer as unconfirmed until its engine has lived on for a second after the first event, or 200 ms after a complete answer. If an attempt is lost at that address meanwhile, the probe decides: refused makes the unconfirmed answers suspects, accepting confirms them, no answer drops them. Answers of attempts that this node cancelled are no evidence. The end of a close-delimited answer is examined like a lost attempt if its parts have no recent answer. The decision waits 1.5 s after the first crash instead of 1 s, so that answers which had begun are confirmed before. A request is resumed at most once while its parts are unproven.

Sound requests: a stream that is cut after events is still resumed where its route allows it. Only complete answers count after 200 ms because a test with a crash every 0.9 s among four sessions quarantined a sound part when they counted after a second (crashes_of_other_causes_quarantine_no_part_of_sound_requests).

Replaced check: examines_only_attempts_that_were_lost_before_an_event said that an attempt with an event is never examined; that was the fault. Its successor checks that an attempt is examined unless its answer is confirmed.

--- a/include/eelgrassbend/quarantine/crash_report.h
+++ b/include/eelgrassbend/quarantine/crash_report.h
@@ -29,7 +29,7 @@
 /// Returns the names of parts as logs show them, separated by spaces.
 std::string part_names(const part_keys& parts);
 
-/// A request that had received no event of its answer when its endpoint crashed.
+/// A request that had no confirmed answer when its endpoint crashed.
 struct crash_suspect {
     crash_id crash;
     std::uint64_t request = 0;     ///< hash of the request's id
@@ -40,7 +40,7 @@
     friend bool operator==(const crash_suspect&, const crash_suspect&) = default;
 };
 
-/// A part of a request that an endpoint has answered without crashing.
+/// A part of a request whose answer has been confirmed.
 struct sound_part {
     part_key part;
     duration age{}; ///< since the answer
--- a/include/eelgrassbend/quarantine/part_quarantine.h
+++ b/include/eelgrassbend/quarantine/part_quarantine.h
@@ -18,11 +18,11 @@
 /// Finds prompt parts that crash every endpoint that starts to answer a request with them, and
 /// refuses such requests.
 ///
-/// A part is suspected when a request with it had no event of its answer yet at the crash of its
-/// endpoint, and is sound once a request with it receives an event. Parts that are common to the
-/// suspects of several crashes, without an answer since, are quarantined as a set: a request is
-/// refused only if it has all of them. Evidence and decisions of all nodes are exchanged as
-/// `crash_report`s. When a quarantine has run out, single requests are let through as a trial.
+/// A part is suspected when a request with it had no confirmed answer yet at the crash of its
+/// endpoint, and is sound once a request with it has one (see `crash_detector`). Parts that are
+/// common to the suspects of several crashes, without an answer since, are quarantined as a set: a
+/// request is refused only if it has all of them. Evidence and decisions of all nodes are exchanged
+/// as `crash_report`s. When a quarantine has run out, single requests are let through as a trial.
 class part_quarantine {
 public:
     /// `self` spreads the times at which the nodes of a fleet start a trial.
@@ -31,10 +31,10 @@
     /// `handler` is called when a set has been put in quarantine.
     void on_started(std::function<void()> handler) { this->handle_started = std::move(handler); }
 
-    /// A request of this node had no event of its answer yet at the crash of its endpoint.
+    /// A request of this node had no confirmed answer yet at the crash of its endpoint.
     void record_suspect(const crash_suspect& suspect, monotonic_time now);
-    /// A request of this node has received an event of its answer.
-    void record_answer(const part_keys& parts, monotonic_time now);
+    /// An answer to a request of this node, which began at `answered_at`, has been confirmed.
+    void record_answer(const part_keys& parts, monotonic_time answered_at, monotonic_time now);
     /// Adds what another node reports.
     void apply(const crash_report& report, monotonic_time now);
     /// Decides on the evidence so far; to be called several times a second.
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -3,6 +3,7 @@
 
 #include "eelgrassbend/endpoints/endpoint_client.h"
 #include "eelgrassbend/placement/placer.h"
+#include "eelgrassbend/quarantine/crash_detector.h"
 #include "eelgrassbend/quarantine/crash_report.h"
 #include "eelgrassbend/routes/route_table.h"
 #include "eelgrassbend/serving/exchange.h"
@@ -14,6 +15,7 @@
 #include "eelgrassbend/support/byte_budget.h"
 #include "eelgrassbend/support/scheduler.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -116,6 +118,11 @@
     void handle_attempt_refused();
     /// The connection of the current attempt has ended before its answer was complete.
     void handle_attempt_lost(const error& reason);
+    /// The answer of the current attempt is complete as far as its framing shows.
+    void handle_answer_ended();
+    /// Whether the endpoint of the current attempt has lived on since it began to answer.
+    [[nodiscard]] bool is_answer_confirmed() const;
+    [[nodiscard]] attempt_evidence current_evidence() const;
     void handle_attempt_failure(const error& reason);
     void end_attempt(attempt_result outcome);
     void repeat_attempt();
@@ -153,6 +160,7 @@
     load_model::attempt_number attempt = 0;
     std::set<endpoint_id> excluded;
     placement current_placement;
+    std::int64_t endpoint_started = 0;           ///< incarnation at `current_placement`
     std::optional<forward_answer_fields> answer; ///< of the current attempt
     std::string answer_body;
     byte_reservation buffer_reservation; ///< for `answer_body`
@@ -169,11 +177,12 @@
     std::optional<forward_answer_fields> stream_head; ///< of the run whose events are forwarded
     std::optional<monotonic_time> waiting_since;
     int endpoints_tried = 0;
-    int attempts_lost_before_event = 0;
+    int attempts_lost_unconfirmed = 0;
+    /// The first event, or the answer without events, of the current attempt.
+    std::optional<monotonic_time> answered_at;
     run_history runs;
     bool is_new_run = true;    ///< the current attempt starts at the first event
     bool is_suspected = false; ///< its answer had begun when an endpoint was lost
-    bool has_event = false;    ///< the current attempt has received an event or its answer
     bool is_usage_counted = false;
     bool is_demand_counted = false;
     bool is_stream_started = false;
--- a/include/eelgrassbend/serving/forward_protocol.h
+++ b/include/eelgrassbend/serving/forward_protocol.h
@@ -40,10 +40,11 @@
 /// Parsed head of an endpoint's answer.
 struct forward_answer_fields {
     int status = 0;
-    request_id id;           ///< empty if the endpoint did not echo it
-    bool is_not_run = false; ///< the endpoint reports that it did not run the request
-    bool is_signed = false;  ///< carries the endpoint's signature of the answer
-    bool is_leaving = false; ///< the endpoint will stop soon
+    request_id id;                   ///< empty if the endpoint did not echo it
+    bool is_not_run = false;         ///< the endpoint reports that it did not run the request
+    bool is_signed = false;          ///< carries the endpoint's signature of the answer
+    bool is_leaving = false;         ///< the endpoint will stop soon
+    bool is_close_delimited = false; ///< the body ends with the connection
     /// The endpoint requests a pause of new work from this node.
     std::optional<duration> no_work_duration;
     std::string unreadable_header; ///< name and value of a header that could not be parsed
--- a/lib/quarantine/part_quarantine.cpp
+++ b/lib/quarantine/part_quarantine.cpp
@@ -14,9 +14,9 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-/// Time between the first crash and the decision, in which other nodes, also those of other groups,
-/// report answers that refute the suspicion.
-static constexpr seconds settle_time{1};
+/// Time between the first crash and the decision, in which answers that had begun are confirmed and
+/// other nodes, also those of other groups, report those that refute the suspicion.
+static constexpr std::chrono::milliseconds settle_time{1500};
 /// An answer refutes crashes up to this long after it: it shows that the part itself is harmless.
 static constexpr seconds answer_validity{10};
 /// Crashes further apart are not taken to have one cause.
@@ -145,10 +145,11 @@
     });
 }
 
-void part_quarantine::record_answer(const part_keys& parts, monotonic_time now)
+void part_quarantine::record_answer(const part_keys& parts, monotonic_time answered_at,
+                                    monotonic_time now)
 {
     for (const auto& part : parts) {
-        this->record_sound(part, {now, true}, now);
+        this->record_sound(part, {answered_at, true}, now);
     }
     this->prune_answers();
 }
--- a/lib/serving/forward_end.cpp
+++ b/lib/serving/forward_end.cpp
@@ -35,7 +35,7 @@
 // queue.
 void forward_flow::handle_quarantine_started()
 {
-    const bool is_answered = this->has_event || this->is_stream_started;
+    const bool is_answered = this->answered_at || this->is_stream_started;
     if (!this->is_open || is_answered ||
         !this->services.quarantine.is_quarantined(this->request.shared_parts)) {
         return;
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -33,8 +33,9 @@
 static constexpr int ranks_per_priority = 2;
 /// Requests with an objective above this rank after shorter ones of their priority.
 static constexpr std::chrono::milliseconds short_objective_limit{800};
-/// Attempts of one request that may be lost before an event; the request itself may be the cause.
-static constexpr int max_attempts_lost_before_event = 2;
+/// Attempts of one request that may be lost without a confirmed answer; the request itself may be
+/// the cause.
+static constexpr int max_attempts_lost_unconfirmed = 2;
 
 forward_flow::forward_flow(const forward_services& services, forwarded_request request,
                            ended_handler on_ended)
@@ -190,13 +191,15 @@
 
 void forward_flow::dispatch(const placement& chosen)
 {
+    const auto* known = this->services.endpoints.find(chosen.endpoint);
     this->current_placement = chosen;
+    this->endpoint_started = known != nullptr ? known->record.started : 0;
     this->waiting_since.reset();
     this->answer.reset();
     this->answer_body.clear();
     this->buffer_reservation.clear();
     this->events.reset();
-    this->has_event = false;
+    this->answered_at.reset();
     this->is_new_run = !this->continuation && this->last_event.empty();
     const auto now = this->services.time.now();
     if (this->deadline() - now < min_time_left) {
@@ -277,8 +280,7 @@
 {
     return this->request.matched_route->is_repeatable() &&
            this->endpoints_tried < this->request.matched_route->max_endpoints &&
-           this->attempts_lost_before_event < max_attempts_lost_before_event &&
-           !this->is_suspected &&
+           this->attempts_lost_unconfirmed < max_attempts_lost_unconfirmed && !this->is_suspected &&
            !this->services.quarantine.is_quarantined(this->request.shared_parts);
 }
 
@@ -401,6 +403,7 @@
     if (this->handle_end_in_migration()) {
         return;
     }
+    this->handle_answer_ended();
     if (const auto* defect = this->stream_end_defect()) {
         this->handle_attempt_lost(make_error(errc::truncated, "read event stream",
                                              this->current_placement.endpoint.value(), defect));
@@ -425,6 +428,7 @@
     const bool is_failure = this->answer->status >= first_server_error;
     if (this->answer->is_success()) {
         this->handle_answer_produced();
+        this->handle_answer_ended();
     }
     if (is_failure && this->can_repeat_attempt() &&
         this->services.retries.spend(this->request.target)) {
@@ -517,6 +521,9 @@
 
 void forward_flow::end_attempt(attempt_result outcome)
 {
+    if (outcome == attempt_result::cancelled && this->answered_at && !this->is_answer_confirmed()) {
+        this->services.crashes.handle_cancelled_attempt(this->current_evidence());
+    }
     this->handle.reset();
     this->cancel_timer(this->stall_timer);
     if (this->attempt != 0) {
--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -49,30 +49,57 @@
 
 void forward_flow::handle_answer_produced()
 {
-    if (!std::exchange(this->has_event, true)) {
-        this->services.quarantine.record_answer(this->request.shared_parts,
-                                                this->services.time.now());
+    if (!this->answered_at) {
+        this->answered_at = this->services.time.now();
+        this->services.crashes.handle_answer_produced(this->current_evidence());
     }
 }
 
+bool forward_flow::is_answer_confirmed() const
+{
+    return this->answered_at &&
+           this->services.time.now() - *this->answered_at >= answer_confirmation_time;
+}
+
+attempt_evidence forward_flow::current_evidence() const
+{
+    return {this->current_placement.endpoint, this->endpoint_started,
+            this->current_placement.address,  this->request.fields.id,
+            this->answer.has_value(),         this->request.shared_parts};
+}
+
 // A stream that is lost between its head and its first event is the most likely cause of a crash,
 // so it is repeated only if other requests with its parts were answered.
 void forward_flow::handle_attempt_lost(const error& reason)
 {
-    if (!this->has_event) {
-        ++this->attempts_lost_before_event;
-        this->is_suspected = this->is_stream() && this->answer &&
-                             this->services.quarantine.has_unproven_part(this->request.shared_parts,
-                                                                         this->services.time.now());
-        const auto* known = this->services.endpoints.find(this->current_placement.endpoint);
-        this->services.crashes.handle_lost_attempt(
-            {this->current_placement.endpoint, known != nullptr ? known->record.started : 0,
-             this->current_placement.address, this->request.fields.id, this->answer.has_value(),
-             this->request.shared_parts});
+    if (!this->is_answer_confirmed()) {
+        const bool is_unproven = this->services.quarantine.has_unproven_part(
+            this->request.shared_parts, this->services.time.now());
+        if (!this->answered_at || is_unproven) {
+            ++this->attempts_lost_unconfirmed;
+        }
+        this->is_suspected = this->is_stream() && this->answer && !this->answered_at && is_unproven;
+        this->services.crashes.handle_lost_attempt(this->current_evidence());
     }
     this->handle_attempt_failure(reason);
 }
 
+// A close-delimited answer ends in the same way if its endpoint crashes.
+void forward_flow::handle_answer_ended()
+{
+    if (!this->answered_at || this->is_answer_confirmed()) {
+        return;
+    }
+    if (!this->answer->is_close_delimited) {
+        this->services.crashes.handle_answer_completed(this->current_evidence());
+        return;
+    }
+    if (this->services.quarantine.has_unproven_part(this->request.shared_parts,
+                                                    this->services.time.now())) {
+        this->services.crashes.handle_lost_attempt(this->current_evidence());
+    }
+}
+
 // A close-delimited stream of an engine that crashes ends like a complete one. Every run produces
 // at least one event; a resumed one may have no more to send.
 const char* forward_flow::stream_end_defect() const
@@ -80,7 +107,7 @@
     if (this->events.is_within_event()) {
         return "stream ended within an event";
     }
-    if (this->is_new_run && !this->has_event) {
+    if (this->is_new_run && !this->answered_at) {
         return "stream ended before its first event";
     }
     return nullptr;
--- a/unittests/gateway/part_quarantine_test.cpp
+++ b/unittests/gateway/part_quarantine_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 #include <optional>
 
 namespace eelgrassbend {
@@ -13,10 +14,15 @@
 /// Bound of the time between the fifth crash under a part and the last request with it.
 static constexpr seconds max_reaction_time{3};
 static constexpr int max_crashes_unbounded = 5;
+/// Time that an engine is down after a crash.
+static constexpr seconds restart_time{3};
 static constexpr int max_requests_after_reaction = 3;
 
 namespace {
 
+/// How far an engine gets with its answer before it crashes.
+enum class crash_moment { after_head, after_first_event, after_third_event, as_end_of_answer };
+
 /// A fleet before engines that crash when an answer to a request with the part "d0" begins.
 struct crashing_fleet : gateway_fleet {
     explicit crashing_fleet(int nodes, int zones = 1) : gateway_fleet(nodes, zones)
@@ -51,25 +57,63 @@
         this->last = node.send("/s/1", id,
                                {{"X-Eelgrassbend-Prefix-Hash", parts + "," + id + ":10"},
                                 {"X-Eelgrassbend-Token-Usage", "100,10"}});
-        if (node.client.attempts.size() == before) {
+        this->refuse_at_crashed_engines(node);
+        if (node.client.attempts.size() == before || node.client.last().observer == nullptr) {
             return false;
         }
         auto& attempt = node.client.last();
-        attempt.observer->on_head(
-            200, {{"X-Eelgrassbend-Request-Id", id}, {"X-Eelgrassbend-Response-Seal", "p"}});
-        if (parts.find("d0") == std::string::npos) {
+        header_list headers{{"X-Eelgrassbend-Request-Id", id},
+                            {"X-Eelgrassbend-Response-Seal", "p"}};
+        if (this->moment != crash_moment::as_end_of_answer) {
+            headers.emplace_back("Transfer-Encoding", "chunked");
+        }
+        attempt.observer->on_head(200, headers);
+        if (parts.find("d0") == std::string::npos && !this->has_other_crash) {
             attempt.observer->on_body("id: 1\ndata: x\n\n");
             attempt.observer->on_completed();
+            node.probes.answer_all(reachability::accepting);
             return true;
         }
         const auto address = attempt.address;
-        attempt.observer->on_failed(make_error(errc::truncated, "call", address.to_string()),
-                                    dispatch_state::maybe_sent);
+        this->begin_answer(attempt);
+        if (this->moment == crash_moment::as_end_of_answer) {
+            attempt.observer->on_completed();
+        }
+        else {
+            attempt.observer->on_failed(make_error(errc::truncated, "call", address.to_string()),
+                                        dispatch_state::maybe_sent);
+        }
         node.probes.answer_all(reachability::refused);
         this->crashed.push_back(address);
+        if (this->has_other_crash) {
+            this->back_at[address] = this->time.now() + restart_time;
+            this->write_engine(address.ip.back() - '0');
+        }
         return true;
     }
 
+    /// Engines that have not restarted yet refuse connections.
+    void refuse_at_crashed_engines(gateway_node& node)
+    {
+        while (!node.client.attempts.empty() && node.client.last().observer != nullptr &&
+               this->time.now() < this->back_at[node.client.last().address]) {
+            node.client.last().observer->on_failed(
+                make_error(errc::unavailable, "connect", "engine"), dispatch_state::not_sent);
+        }
+    }
+
+    /// Sends the events that the engine writes before it crashes.
+    void begin_answer(fake_endpoint_client::sent_attempt& attempt)
+    {
+        const int events = this->moment == crash_moment::after_head          ? 0
+                           : this->moment == crash_moment::after_third_event ? 3
+                                                                             : 1;
+        for (int number = 1; number <= events; ++number) {
+            attempt.observer->on_body("id: " + std::to_string(number) + "\ndata: x\n\n");
+            this->time.run_for(milliseconds{100});
+        }
+    }
+
     /// Sends requests with the part "d0" until some engines have crashed under them.
     void crash_engines()
     {
@@ -96,15 +140,19 @@
 
     std::shared_ptr<fake_exchange> last;
     std::vector<network_address> crashed;
+    std::map<network_address, monotonic_time> back_at;
+    crash_moment moment = crash_moment::after_head;
+    bool has_other_crash = false; ///< engines crash whatever the parts of the next request
     int sent = 0;
     std::int64_t incarnations = 0;
 };
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(requests_with_a_part_that_crashes_engines_stop_reaching_engines)
+/// Plays requests with and without the part "d0" and checks that only the former stop reaching
+/// engines.
+static void check_reaction(crashing_fleet& fleet)
 {
-    crashing_fleet fleet{4};
     std::optional<monotonic_time> fifth_crash;
     int late = 0;
     for (int round = 0; round < 60; ++round) {
@@ -123,6 +171,52 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(requests_with_a_part_that_crashes_engines_stop_reaching_engines)
+{
+    crashing_fleet fleet{4};
+    check_reaction(fleet);
+}
+
+// The first event of an answer was taken as proof that the parts of its prompt are harmless.
+BOOST_AUTO_TEST_CASE(requests_that_crash_engines_after_an_event_stop_reaching_engines)
+{
+    for (const auto moment : {crash_moment::after_first_event, crash_moment::after_third_event}) {
+        crashing_fleet fleet{4};
+        fleet.moment = moment;
+        check_reaction(fleet);
+    }
+}
+
+// The end of the connection ends such an answer, so a crash looks like a complete one.
+BOOST_AUTO_TEST_CASE(requests_that_crash_engines_within_close_delimited_answers_stop_reaching_them)
+{
+    crashing_fleet fleet{4};
+    fleet.moment = crash_moment::as_end_of_answer;
+    check_reaction(fleet);
+}
+
+// Streams that had just begun are lost by each crash, whatever its cause.
+BOOST_AUTO_TEST_CASE(crashes_of_other_causes_quarantine_no_part_of_sound_requests)
+{
+    for (const auto moment : {crash_moment::after_head, crash_moment::after_first_event,
+                              crash_moment::after_third_event, crash_moment::as_end_of_answer}) {
+        crashing_fleet fleet{4};
+        fleet.moment = moment;
+        for (int round = 0; round < 60; ++round) {
+            fleet.time.run_for(milliseconds{300});
+            const auto session = std::to_string(round % 4);
+            fleet.has_other_crash = round % 3 == 2;
+            fleet.request(fleet.any_node(), "a0:50,b" + session + ":20");
+        }
+        fleet.has_other_crash = false;
+        fleet.time.run_for(seconds{3});
+        for (const auto& node : fleet.nodes) {
+            BOOST_TEST(node->log.count("quarantine_started") == 0U);
+        }
+        BOOST_TEST(fleet.crashed.size() == 20U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantine_survives_a_restart_of_all_nodes)
 {
     crashing_fleet fleet{4};
--- a/unittests/quarantine/part_quarantine_test.cpp
+++ b/unittests/quarantine/part_quarantine_test.cpp
@@ -62,7 +62,7 @@
 
     void answer(const std::string& parts, std::size_t node = 0)
     {
-        this->nodes[node]->record_answer(keys(parts), this->now);
+        this->nodes[node]->record_answer(keys(parts), this->now, this->now);
     }
 
     void run_for(duration time)
@@ -322,7 +322,7 @@
 BOOST_FIXTURE_TEST_CASE(memory_and_reports_are_bounded, quarantine_fixture)
 {
     for (std::uint64_t number = 0; number < 20'000; ++number) {
-        this->nodes[0]->record_answer({part_key{number + 1'000'000}}, this->now);
+        this->nodes[0]->record_answer({part_key{number + 1'000'000}}, this->now, this->now);
         this->now += milliseconds{1};
     }
     for (int count = 0; count < 2'000; ++count) {
--- a/unittests/serving/forward_crash_test.cpp
+++ b/unittests/serving/forward_crash_test.cpp
@@ -43,6 +43,12 @@
         this->quarantine.update(this->time.now());
         this->confirm();
     }
+
+    void answer_with_event()
+    {
+        this->head();
+        this->body("id: 1\ndata: x\n\n");
+    }
 };
 
 } // namespace
@@ -62,17 +68,52 @@
     BOOST_TEST(served->ended);
 }
 
-BOOST_FIXTURE_TEST_CASE(examines_only_attempts_that_were_lost_before_an_event, crash_fixture)
+BOOST_FIXTURE_TEST_CASE(examines_only_attempts_that_were_lost_without_a_confirmed_answer,
+                        crash_fixture)
 {
     this->send_prompt("/long/1", "ab1");
-    this->head();
-    this->body("id: 1\ndata: x\n\n");
-    this->client.last().observer->on_failed(make_error(errc::truncated, "call", "endpoint"),
-                                            dispatch_state::maybe_sent);
+    this->answer_with_event();
+    this->time.run_for(answer_confirmation_time);
+    this->fail(dispatch_state::maybe_sent);
     BOOST_TEST(this->probes.pending.empty());
     this->send_prompt("/long/1", "ab1");
+    this->answer_with_event();
     this->fail(dispatch_state::maybe_sent);
     BOOST_TEST(this->probes.pending.size() == 1U);
+    this->probes.answer_all(reachability::accepting);
+    this->send_prompt("/long/1", "ab1");
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_TEST(this->probes.pending.size() == 1U);
+}
+
+// The end of the connection ends such an answer, so a crash looks like a complete one.
+BOOST_FIXTURE_TEST_CASE(examines_the_end_of_close_delimited_answers_with_unproven_parts,
+                        crash_fixture)
+{
+    const auto answer = this->send_prompt("/long/1", "ab1");
+    this->head(200, {{"Close-Delimited", "1"}});
+    this->body("id: 1\ndata: x\n\n");
+    this->complete();
+    BOOST_TEST(answer->ended);
+    BOOST_TEST(this->probes.pending.size() == 1U);
+    this->probes.answer_all(reachability::accepting);
+    this->time.run_for(answer_confirmation_time);
+    this->send_prompt("/long/1", "ab2");
+    this->head(200, {{"Close-Delimited", "1"}});
+    this->body("id: 1\ndata: x\n\n");
+    this->complete();
+    BOOST_TEST(this->probes.pending.empty());
+}
+
+// A stream whose parts have no recent answer may have crashed the engine; others are resumed.
+BOOST_FIXTURE_TEST_CASE(resumes_a_stream_lost_after_its_first_event, crash_fixture)
+{
+    const auto unproven = this->send_prompt("/short/1", "ab1");
+    this->answer_with_event();
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_TEST(this->client.attempts.size() == 2U);
+    BOOST_TEST(this->sent_header("Last-Event") == "1");
+    BOOST_TEST(!unproven->aborted);
 }
 
 // A request that crashes endpoints would otherwise take down as many as its route allows.
@@ -101,9 +142,9 @@
     BOOST_TEST(this->client.attempts.size() == 1U);
     BOOST_TEST(suspected->status == 502);
     this->send_prompt("/short/1", "a2");
-    this->head();
-    this->body("id: 1\ndata: x\n\n");
+    this->answer_with_event();
     this->complete();
+    this->time.run_for(answer_confirmation_time);
     this->send_prompt("/short/1", "a3");
     this->head();
     this->fail(dispatch_state::maybe_sent);
