Accept an answer without an id only on a connection that is new

Found from a report of other operators: a faulty engine writes an earlier refusal once more on a kept connection. Here the repeat was taken for the answer to the next request if it showed no request id: a caller was told "not run" for a request that the engine was running, or the request went to a second engine.

Cause: the gateway's endpoint client accepts answers without an id, in the belief that an earlier answer would have been read before the connection is used again. A repeat that arrives after the next request was sent is not seen by that check. A repeat with the id of an earlier request was told apart and skipped already. With the same id it could not be: a request that returns to an endpoint which has refused it uses the same id and could get the same connection.

Change: an answer without an id is the attempt's own only if it is the first one on its connection. Otherwise it is skipped like one of another attempt; if no answer with the id follows within two seconds, the outcome is unknown. A request returns to an endpoint that it was sent to before on a new connection only.

What sound requests lose: nothing where endpoints echo the id, as the protocol says.

Evidence, before the change: a_repeated_refusal_on_a_kept_connection_is_not_the_next_answer: 503 != 200 the_outcome_is_unknown_after_an_answer_without_id_on_a_kept_connection: completed returns_to_an_endpoint_that_refused_on_a_new_connection: not a new connection Result: all three hold, with the rest of the net and serving tests.

--- a/include/eelgrassbend/net/asio_endpoint_client.h
+++ b/include/eelgrassbend/net/asio_endpoint_client.h
@@ -21,8 +21,11 @@
     std::size_t max_body_bytes = 64 * 1024 * 1024;
     /// Header that carries the attempt id in requests; answers echo it.
     std::string attempt_header = "X-Attempt-Id";
-    /// Whether answers may omit the attempt id; one that is present must always match.
+    /// Whether the first answer on a connection may omit the attempt id; one that is present must
+    /// always match.
     bool allows_missing_attempt_id = false;
+    /// Maximum wait for the answer to an attempt after one that shows no attempt id.
+    duration unidentified_answer_timeout = std::chrono::seconds{2};
     /// Number of answers to earlier attempts that an attempt skips before its own answer.
     int max_skipped_answers = 0;
     /// Target of the probe that is sent on a fresh connection when an attempt makes no progress. If
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -159,6 +159,7 @@
     std::unique_ptr<attempt_handle> handle;
     load_model::attempt_number attempt = 0;
     std::set<endpoint_id> excluded;
+    std::set<endpoint_id> attempted; ///< have been sent the request
     placement current_placement;
     std::int64_t endpoint_started = 0;           ///< incarnation at `current_placement`
     std::optional<forward_answer_fields> answer; ///< of the current attempt
--- a/lib/net/asio_endpoint_client.cpp
+++ b/lib/net/asio_endpoint_client.cpp
@@ -50,6 +50,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::uint64_t generation; ///< one below that of the endpoint's entry marks a retired connection
+    bool has_answered = false; ///< an earlier attempt
 };
 
 using http_connection_ptr = std::shared_ptr<http_connection>;
@@ -308,14 +309,14 @@
     this->read_head();
 }
 
-// An endpoint may omit the attempt id when it refuses a request. Accepting such an answer is safe:
-// a connection serves one attempt at a time and is closed if it holds unread bytes.
+// An endpoint may omit the attempt id when it refuses a request. Such an answer is accepted only if
+// no other attempt was answered on the connection: a faulty endpoint may repeat an earlier answer.
 bool endpoint_attempt::is_answer_to_attempt() const
 {
     const auto& head = this->parser->get();
     const auto echoed = head.find(this->pool->limits.attempt_header);
     if (echoed == head.end()) {
-        return this->pool->limits.allows_missing_attempt_id;
+        return this->pool->limits.allows_missing_attempt_id && !this->connection->has_answered;
     }
     return echoed->value() == this->request.attempt.value();
 }
@@ -346,6 +347,7 @@
                 self->skip_answer();
                 return;
             }
+            self->connection->stream.expires_never();
             self->restart_progress_timer();
             header_list headers;
             for (const auto& field : head) {
@@ -426,6 +428,7 @@
     }
     this->progress_timer.cancel();
     if (this->parser->keep_alive() && this->connection->buffer.size() == 0) {
+        this->connection->has_answered = true;
         this->pool->release(this->address, std::move(this->connection), this->idle_timeout());
     }
     std::exchange(this->observer, nullptr)->on_completed();
@@ -440,9 +443,14 @@
     this->read_head();
 }
 
-// A late duplicate answer to an earlier request may precede the answer to this one.
+// A late duplicate answer to an earlier request may precede the answer to this one. One without an
+// attempt id may also be the answer to this one, so that no other follows.
 void endpoint_attempt::skip_answer()
 {
+    if (this->pool->limits.allows_missing_attempt_id &&
+        this->parser->get().find(this->pool->limits.attempt_header) == this->parser->get().end()) {
+        this->connection->stream.expires_after(this->pool->limits.unidentified_answer_timeout);
+    }
     if (!this->parser->keep_alive() ||
         ++this->skipped_answers > this->pool->limits.max_skipped_answers) {
         this->fail(errc::mismatched, "answer is for another attempt");
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -217,6 +217,7 @@
     }
     this->handle =
         this->services.client.dispatch(chosen.address, this->make_attempt_request(chosen), *this);
+    this->attempted.insert(chosen.endpoint);
     this->arm_first_byte_timer(chosen);
 }
 
@@ -245,8 +246,10 @@
     attempt_request.headers =
         this->services.protocol.endpoint_headers(this->request.http, attempt_fields);
     attempt_request.body = this->request.http.body;
-    // A failure to connect then proves that the engine has not continued the run.
-    attempt_request.needs_new_connection = this->continuation.has_value();
+    // A failure to connect then proves that the engine has not continued the run; and an old
+    // connection may carry a repeat of the endpoint's earlier answer, which has the same id.
+    attempt_request.needs_new_connection =
+        this->continuation.has_value() || this->attempted.contains(chosen.endpoint);
     return attempt_request;
 }
 
--- a/unittests/net/asio_endpoint_client_test.cpp
+++ b/unittests/net/asio_endpoint_client_test.cpp
@@ -405,6 +405,53 @@
     BOOST_TEST(observer.status == 503);
 }
 
+static const std::string refusal_without_id = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+
+// An earlier refusal that was written once more was taken for the answer to the next request.
+BOOST_FIXTURE_TEST_CASE(a_repeated_refusal_on_a_kept_connection_is_not_the_next_answer,
+                        permissive_fixture)
+{
+    this->limits.allows_missing_attempt_id = true;
+    for (const auto& repeated :
+         {refusal_without_id, std::string{"HTTP/1.1 503 No\r\nX-Attempt-Id: r/1\r\n"
+                                          "Content-Length: 0\r\n\r\n"}}) {
+        scripted_server server{this->context, [&](const std::string& request) {
+                                   const auto attempt = attempt_in(request);
+                                   return (attempt == "r/1" ? "" : repeated) +
+                                          answer_for(attempt, "hello", 5);
+                               }};
+        for (const char* attempt : {"r/1", "r/2"}) {
+            recording_observer observer;
+            this->run_permissive(server.address(), this->request(attempt), observer);
+            BOOST_TEST(observer.is_complete);
+            BOOST_TEST(observer.status == 200);
+            BOOST_TEST(observer.text == "hello");
+        }
+        BOOST_TEST(server.accepted_connections == 1);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(the_outcome_is_unknown_after_an_answer_without_id_on_a_kept_connection,
+                        permissive_fixture)
+{
+    this->limits.allows_missing_attempt_id = true;
+    this->limits.unidentified_answer_timeout = std::chrono::milliseconds{100};
+    scripted_server server{this->context, [&](const std::string& request) {
+                               const auto attempt = attempt_in(request);
+                               return attempt == "r/1" ? answer_for(attempt, "hello", 5)
+                                                       : refusal_without_id;
+                           }};
+    recording_observer first;
+    this->run_permissive(server.address(), this->request("r/1"), first);
+    auto patient = this->request("r/2");
+    patient.progress_timeout = {};
+    recording_observer second;
+    this->run_permissive(server.address(), patient, second);
+    BOOST_TEST(!second.is_complete);
+    BOOST_REQUIRE(second.failure.has_value());
+    BOOST_TEST((second.sent_state == dispatch_state::maybe_sent));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_idle_connection_expires_before_the_announced_keep_alive_timeout,
                         permissive_fixture)
 {
--- a/unittests/serving/forward_flow_test.cpp
+++ b/unittests/serving/forward_flow_test.cpp
@@ -72,6 +72,24 @@
 }
 
 // Without the not-run header, a status such as 503 does not prove that the request did not run.
+// A kept connection may still carry a repeat of the refusal, which has the same request id.
+BOOST_FIXTURE_TEST_CASE(returns_to_an_endpoint_that_refused_on_a_new_connection, forward_fixture)
+{
+    this->configuration.routes[2].max_endpoints = 2;
+    this->configuration.version = configuration_version{2};
+    this->apply();
+    for (int index = 0; index < 10; ++index) {
+        this->send("/order/1"); // the other endpoint is full
+    }
+    const auto refusing = this->endpoint();
+    BOOST_TEST(!this->client.last().request.needs_new_connection);
+    this->head(503, {{"Not-Run", "1"}});
+    this->time.run_for(milliseconds{50});
+    BOOST_REQUIRE(this->client.attempts.size() == 11U);
+    BOOST_TEST(this->endpoint() == refusing);
+    BOOST_TEST(this->client.last().request.needs_new_connection);
+}
+
 BOOST_FIXTURE_TEST_CASE(rejects_a_not_run_status_without_the_not_run_header, forward_fixture)
 {
     const auto answer = this->send("/order/1");
