--- a/include/eelgrassbend/platform/http_client.h
+++ b/include/eelgrassbend/platform/http_client.h
@@ -20,6 +20,7 @@
     duration timeout = std::chrono::seconds{5};
     std::string content_type = "application/json";            ///< of the body
     std::vector<std::pair<std::string, std::string>> headers; ///< besides the usual ones
+    bool needs_new_connection = false; ///< on which no answer to an earlier call can arrive
 };
 
 struct http_answer {
--- a/lib/net/asio_http_client.cpp
+++ b/lib/net/asio_http_client.cpp
@@ -128,7 +128,9 @@
         this->message.body() = this->call.body;
     }
     this->message.prepare_payload();
-    this->connection = this->pool->acquire_idle(this->call.peer);
+    if (!this->call.needs_new_connection) {
+        this->connection = this->pool->acquire_idle(this->call.peer);
+    }
     this->is_pooled = this->connection != nullptr;
     if (this->is_pooled) {
         this->connection->stream.expires_after(this->call.timeout);
--- a/unittests/net/asio_http_client_test.cpp
+++ b/unittests/net/asio_http_client_test.cpp
@@ -140,6 +140,18 @@
     BOOST_TEST(this->server.connections() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_call_can_ask_for_a_new_connection, client_fixture)
+{
+    BOOST_TEST(!!this->send("POST"));
+    std::optional<result<http_answer>> answer;
+    http_call call{this->server.address, "POST", "/x", {}, milliseconds{2'000}};
+    call.needs_new_connection = true;
+    this->client.send(call, [&](const auto& received) { answer = received; });
+    BOOST_REQUIRE(run_until(this->context, [&] { return answer.has_value(); }));
+    BOOST_TEST(answer->has_value());
+    BOOST_TEST(this->server.connections() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_connection_that_the_server_closed_is_not_reused, client_fixture)
 {
     this->server.steps = {server_step::answer_then_close};
--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/duty_client.h"
 #include "platform/forward_headers.h"
+#include "platform/migration_client.h"
 #include "platform/store_client.h"
 
 #include "platform_fakes.h"
@@ -104,6 +105,21 @@
             "body"};
 }
 
+// On a kept connection, a repeated answer to an earlier call would name the KV cache of another
+// run.
+BOOST_AUTO_TEST_CASE(a_run_is_not_resumed_from_a_repeated_answer_about_another_run)
+{
+    scripted_http_client http;
+    migration_client migrations{http, seconds{1}};
+    http.answer = http_answer{200, R"({"handle":"h","created":3})"};
+    std::optional<result<stopped_run>> outcome;
+    migrations.migrate({"10.0.0.1", 80}, request_id{"r-1"}, {"10.0.0.2", 80},
+                       [&](result<stopped_run> stopped) { outcome = std::move(stopped); });
+    BOOST_TEST(http.calls[0].needs_new_connection);
+    BOOST_TEST(outcome->value().kv_cache_source == "10.0.0.1:80/h");
+    BOOST_TEST(outcome->value().is_copied);
+}
+
 BOOST_AUTO_TEST_CASE(request_headers_are_parsed)
 {
     const auto fields = forward_headers{}.parse_request(sample_request());
