--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -54,6 +54,16 @@
     BOOST_TEST((http.calls[0].timeout == seconds{3}));
 }
 
+// A key with a blank made the request for the next page invalid, again and again.
+BOOST_AUTO_TEST_CASE(a_key_of_another_writer_does_not_end_the_reading_of_pages)
+{
+    scripted_http_client http;
+    store_client store{http, {"10.0.0.9", 80}, seconds{1}};
+    store.read_newest({"servers", true}, "dump 4&x=%/?#\r\n\xc3\xa9~-_.", [](const auto&) {});
+    BOOST_TEST(http.calls[0].target == "/-/log-newest?topic=keyed.servers&part=0&after="
+                                       "dump%204%26x%3D%25%2F%3F%23%0D%0A%C3%A9~-_.");
+}
+
 BOOST_AUTO_TEST_CASE(a_read_of_expired_records_returns_the_first_retained_offset)
 {
     scripted_http_client http;
