--- a/include/eelgrassbend/store/record_store.h
+++ b/include/eelgrassbend/store/record_store.h
@@ -5,6 +5,7 @@
 #include "eelgrassbend/support/ids.h"
 #include "eelgrassbend/support/units.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -39,6 +40,7 @@
     std::vector<store_record> records;
     bool has_more = false;
     log_offset end;
+    std::size_t skipped_records = 0; ///< without a key or an offset
 };
 
 /// The outcome of an append that the store answered.
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -83,6 +83,10 @@
         this->snapshot_end = page.value().end;
         this->snapshot_requested_at = requested_at;
     }
+    if (page.value().skipped_records > 0) {
+        this->log.write(log_level::warning, "records_skipped",
+                        {{"topic", this->topic.name}, {"records", page.value().skipped_records}});
+    }
     for (const auto& record : page.value().records) {
         this->listed_keys.insert(record.key);
         this->apply(record, this->is_after_gap());
