Let a resumed stream carry only events that follow

Found from a report of other operators: a stream had begun and broke off, and the next engine answered with an error, whose text stood in the stream.

Cause, seen in tests: every signed 2xx answer of the next engine was taken as the rest of the stream. An answer 204 or 206, or one of another content type, was split into events: its text, at times with the head of an inner answer, was passed on within the stream, or the stream ended as if it were complete. An engine that ignores where to go on repeated its events to the caller. Answers of 400 to 599, refusals, unsigned ones and those of another request were told apart before (the same test plays them).

Change: the head of a resumed answer must have the status and the content type of the stream's first head, and the number of each event must be higher than the one before. Otherwise the attempt has failed: the stream is resumed elsewhere if its route allows it, or ends broken off.

Result: both hold; the serving and gateway tests pass.

--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -111,6 +111,8 @@
     void handle_stall_timeout();
     void forward_events(std::string_view bytes);
     void start_stream();
+    /// Why the head of the answer is not accepted; null if it is.
+    [[nodiscard]] const char* answer_head_defect() const;
     /// Why the stream that has ended is incomplete; null if it is complete.
     [[nodiscard]] const char* stream_end_defect() const;
     /// The endpoint has produced a part of its answer.
--- a/include/eelgrassbend/serving/forward_protocol.h
+++ b/include/eelgrassbend/serving/forward_protocol.h
@@ -49,6 +49,7 @@
     std::optional<duration> no_work_duration;
     std::string unreadable_header; ///< name and value of a header that could not be parsed
     std::optional<reported_load> load;
+    std::string content_type;
     header_list headers; ///< for the caller
 
     [[nodiscard]] bool is_success() const { return this->status >= 200 && this->status < 300; }
--- a/include/eelgrassbend/serving/sse.h
+++ b/include/eelgrassbend/serving/sse.h
@@ -43,6 +43,9 @@
 /// Returns the id of an encoded event; empty if it has none.
 std::string sse_event_id(std::string_view event);
 
+/// Whether the event `id` may follow the event `before`: ids increase where they are numbers.
+bool is_later_event(std::string_view id, std::string_view before);
+
 /// Encodes one event; omits the id line if `id` is empty.
 std::string format_sse(std::string_view id, std::string_view data);
 
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -12,14 +12,11 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <utility>
 
 namespace eelgrassbend {
 
-/// Statuses that state that the request did not run.
-static constexpr std::array not_run_statuses{408, 421, 429, 503};
 /// A request with less time left is not sent.
 static constexpr std::chrono::milliseconds min_time_left{5};
 /// Time limit of a request if neither the caller nor the route sets one.
@@ -317,14 +314,10 @@
     this->runs.record_possible_run();
     this->continuation.reset();
     this->handle_answer_started();
-    const bool claims_not_run = std::find(not_run_statuses.begin(), not_run_statuses.end(),
-                                          status) != not_run_statuses.end();
-    const bool is_authentic =
-        this->answer->is_signed && this->answer->id == this->request.fields.id;
-    if (claims_not_run || (this->answer->is_success() && !is_authentic)) {
-        this->handle_attempt_failure(make_error(
-            errc::mismatched, "read answer", this->current_placement.endpoint.value(),
-            "status " + std::to_string(status) + " without the signature of the answer"));
+    if (const auto* defect = this->answer_head_defect()) {
+        this->handle_attempt_failure(make_error(errc::mismatched, "read answer",
+                                                this->current_placement.endpoint.value(),
+                                                "status " + std::to_string(status) + " " + defect));
         return;
     }
     // A resumed run keeps the head of its first attempt; a restarted one takes the new head.
@@ -369,19 +362,29 @@
         return;
     }
     std::string forwarded;
+    bool is_in_order = true;
     for (const auto& event : complete_events.value()) {
+        auto id = sse_event_id(event);
+        is_in_order = id.empty() || is_later_event(id, this->last_event);
+        if (!is_in_order) {
+            break;
+        }
         forwarded += event;
-        if (auto id = sse_event_id(event); !id.empty()) {
+        if (!id.empty()) {
             this->last_event = std::move(id);
         }
     }
-    if (forwarded.empty()) {
-        return;
+    if (!forwarded.empty()) {
+        this->handle_answer_produced();
+        this->start_stream();
+        this->arm_stall_timer();
+        this->request.answer->send(std::move(forwarded));
+    }
+    if (!is_in_order) {
+        this->handle_attempt_failure(make_error(errc::mismatched, "read event stream",
+                                                this->current_placement.endpoint.value(),
+                                                "event does not follow the one before"));
     }
-    this->handle_answer_produced();
-    this->start_stream();
-    this->arm_stall_timer();
-    this->request.answer->send(std::move(forwarded));
 }
 
 void forward_flow::start_stream()
--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -5,10 +5,14 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace eelgrassbend {
 
+/// Statuses that state that the request did not run.
+static constexpr std::array not_run_statuses{408, 421, 429, 503};
+
 // Reports of the endpoint about itself are valid whatever the outcome of the request.
 void forward_flow::apply_endpoint_notices()
 {
@@ -100,6 +104,29 @@
     }
 }
 
+// Statuses that state that the request did not run are trusted only with the header for it. A
+// stream that is resumed must go on in the form in which it began: its head has been forwarded.
+const char* forward_flow::answer_head_defect() const
+{
+    const auto& head = *this->answer;
+    if (std::find(not_run_statuses.begin(), not_run_statuses.end(), head.status) !=
+        not_run_statuses.end()) {
+        return "without the header for a request that did not run";
+    }
+    if (!head.is_success()) {
+        return nullptr;
+    }
+    if (!head.is_signed || head.id != this->request.fields.id) {
+        return "without the signature of the answer";
+    }
+    const bool is_resumed = this->is_stream() && this->stream_head && !this->is_new_run;
+    if (is_resumed && (head.status != this->stream_head->status ||
+                       head.content_type != this->stream_head->content_type)) {
+        return "or content type differs from the stream that is resumed";
+    }
+    return nullptr;
+}
+
 // A close-delimited stream of an engine that crashes ends like a complete one. Every run produces
 // at least one event; a resumed one may have no more to send.
 const char* forward_flow::stream_end_defect() const
--- a/lib/serving/sse.cpp
+++ b/lib/serving/sse.cpp
@@ -1,6 +1,8 @@
 #include "eelgrassbend/serving/sse.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <optional>
 #include <utility>
 
@@ -94,6 +96,21 @@
     return {};
 }
 
+static std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return failure == std::errc{} && end == text.data() + text.size() ? std::optional{number}
+                                                                      : std::nullopt;
+}
+
+bool is_later_event(std::string_view id, std::string_view before)
+{
+    const auto number = parse_number(id);
+    const auto number_before = parse_number(before);
+    return !number || !number_before || *number > *number_before;
+}
+
 result<std::vector<std::string>> sse_parser::feed(std::string_view bytes)
 {
     auto events = this->splitter.feed(bytes);
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -65,6 +65,9 @@
             answer.is_not_run = answer.is_not_run || name == "Not-Run";
             answer.is_signed = answer.is_signed || name == "Signature";
             answer.is_leaving = answer.is_leaving || name == "Leaving";
+            if (name == "Content-Type") {
+                answer.content_type = value;
+            }
             answer.is_close_delimited = answer.is_close_delimited || name == "Close-Delimited";
             if (name == "No-Work-Ms") {
                 answer.no_work_duration = std::chrono::milliseconds{std::stol(value)};
--- a/unittests/serving/forward_flow_test.cpp
+++ b/unittests/serving/forward_flow_test.cpp
@@ -248,6 +248,79 @@
     BOOST_TEST(answer->status == 200);
 }
 
+namespace {
+
+struct broken_stream_fixture : forward_fixture {
+    /// A stream of which the caller has two events breaks off and is resumed at another endpoint.
+    void break_off(const std::string& path = "/short/1")
+    {
+        this->answer = this->send(path);
+        this->head(200, {{"Content-Type", "text/event-stream"}});
+        this->body(event(1) + event(2));
+        this->fail(dispatch_state::maybe_sent);
+    }
+
+    /// The caller has the two events and a connection that broke off.
+    void check_is_broken_off()
+    {
+        BOOST_TEST(this->answer->body == event(1) + event(2));
+        BOOST_TEST(this->answer->status == 200);
+        BOOST_TEST(this->answer->aborted);
+        BOOST_TEST(!this->answer->ended);
+    }
+
+    std::shared_ptr<fake_exchange> answer;
+};
+
+} // namespace
+
+// The text or the head of an error stood in a stream that was resumed, or the stream seemed whole.
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_carries_nothing_of_an_error, broken_stream_fixture)
+{
+    const std::string text = "error: no such run\n\n";
+    const std::string head = "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror";
+    for (const int status : {204, 206, 302, 400, 404, 408, 421, 429, 500, 502, 503}) {
+        for (const auto& bytes : {text, head, std::string{}}) {
+            this->break_off();
+            this->head(status, {{"Content-Type", "text/event-stream"}});
+            if (this->client.last().observer != nullptr && !bytes.empty()) {
+                this->body(bytes);
+            }
+            if (this->client.last().observer != nullptr) {
+                this->complete();
+            }
+            this->check_is_broken_off();
+        }
+    }
+    for (const char* type : {"text/plain", "application/json", ""}) {
+        this->break_off();
+        this->head(200, {{"Content-Type", type}});
+        if (this->client.last().observer != nullptr) {
+            this->body(text);
+        }
+        if (this->client.last().observer != nullptr) {
+            this->complete();
+        }
+        this->check_is_broken_off();
+    }
+}
+
+// An engine that ignores where a stream is to be resumed sends its events once more.
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_repeats_no_event, broken_stream_fixture)
+{
+    for (const int first : {1, 2}) {
+        this->break_off();
+        this->head(200, {{"Content-Type", "text/event-stream"}});
+        this->body(event(first) + event(first + 1));
+        this->check_is_broken_off();
+    }
+    this->break_off();
+    this->head(200, {{"Content-Type", "text/event-stream"}});
+    this->body(event(9) + event(10) + event(9));
+    BOOST_TEST(this->answer->body == event(1) + event(2) + event(9) + event(10));
+    BOOST_TEST(this->answer->aborted);
+}
+
 BOOST_FIXTURE_TEST_CASE(cancels_the_attempt_when_the_caller_disconnects, forward_fixture)
 {
     const auto answer = this->send("/long/1");
