Deliver a run that ends while it is migrated

Callers of streams that may run once lost an answer that the node had in full.

Cause: while a migration is in flight, the end of the stream was taken for the end of a stopped run. If the run had ended by itself, the engine answers the migration with "no such run", and the stream was aborted.

Change: a stream whose framing says that it is whole is delivered at once. One that ends with its connection waits for the engine: with "no such run" it is delivered, otherwise it may have been stopped and is handled as before.

Evidence: delivers_a_run_that_ends_while_it_is_migrated failed before (the answer was aborted, framed or not). aborts_a_stream_that_may_have_been_stopped holds before and after.

--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -79,6 +79,7 @@
         placement target;
         std::optional<stopped_run> stopped;
         bool is_stream_ended = false; ///< the stream of the source engine
+        bool is_stream_whole = false; ///< it ended, and not within an event
     };
 
     /// A stopped run that an engine with a copy of its KV cache continues.
@@ -132,7 +133,8 @@
     void start_migration();
     void handle_run_stopped(const result<stopped_run>& stopped);
     /// Records the end of the stream if a migration is in flight; returns whether one is.
-    bool handle_end_in_migration();
+    bool handle_end_in_migration(bool is_whole);
+    void finish_stream();
     void resume_migrated_run();
     void continue_run();
     /// The engine that was to continue the run has not begun to.
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -406,15 +406,23 @@
         this->deliver();
         return;
     }
-    if (this->handle_end_in_migration()) {
+    // An engine ends the stream of a stopped run without its end, which only framing shows.
+    const auto* defect = this->stream_end_defect();
+    const bool may_be_stopped = defect != nullptr || this->answer->is_close_delimited;
+    if (may_be_stopped && this->handle_end_in_migration(defect == nullptr)) {
         return;
     }
     this->handle_answer_ended();
-    if (const auto* defect = this->stream_end_defect()) {
+    if (defect != nullptr) {
         this->handle_attempt_lost(make_error(errc::truncated, "read event stream",
                                              this->current_placement.endpoint.value(), defect));
         return;
     }
+    this->finish_stream();
+}
+
+void forward_flow::finish_stream()
+{
     this->start_stream();
     this->end_attempt(attempt_result::succeeded);
     this->request.answer->finish({}, nullptr);
@@ -452,7 +460,7 @@
 {
     const auto self = this->shared_from_this();
     this->cancel_timer(this->first_byte_timer);
-    if (this->handle_end_in_migration()) {
+    if (this->handle_end_in_migration(false)) {
         return;
     }
     if (dispatched == dispatch_state::not_sent) {
--- a/lib/serving/forward_migration.cpp
+++ b/lib/serving/forward_migration.cpp
@@ -62,7 +62,7 @@
         this->schedule_migration(migration_retry_interval);
         return;
     }
-    this->migration = run_migration{*found.chosen, std::nullopt, false};
+    this->migration = run_migration{*found.chosen, std::nullopt};
     this->services.migrator.migrate(
         this->current_placement.address, this->request.fields.id, found.chosen->address,
         [weak = this->weak_from_this()](const result<stopped_run>& answer) {
@@ -84,9 +84,12 @@
                                           : stopped.value().is_copied ? "copied"
                                                                       : "stopped"}});
     if (!stopped) {
-        const bool is_stream_ended = this->migration->is_stream_ended;
-        this->migration.reset();
-        if (is_stream_ended) {
+        const auto ended = *std::exchange(this->migration, std::nullopt);
+        if (ended.is_stream_whole && stopped.error().code == errc::not_found) {
+            this->finish_stream(); // the run had ended by itself
+            return;
+        }
+        if (ended.is_stream_ended) {
             this->handle_attempt_failure(stopped.error());
             return;
         }
@@ -102,12 +105,13 @@
                     &forward_flow::resume_migrated_run);
 }
 
-bool forward_flow::handle_end_in_migration()
+bool forward_flow::handle_end_in_migration(bool is_whole)
 {
     if (!this->migration) {
         return false;
     }
     this->migration->is_stream_ended = true;
+    this->migration->is_stream_whole = is_whole;
     if (this->migration->stopped) {
         this->cancel_timer(this->migration_timer);
         this->resume_migrated_run();
--- a/unittests/serving/forward_migration_test.cpp
+++ b/unittests/serving/forward_migration_test.cpp
@@ -92,6 +92,42 @@
     BOOST_TEST(!answer->ended);
 }
 
+// A stream that had arrived whole was cut because its run could no longer be stopped.
+BOOST_FIXTURE_TEST_CASE(delivers_a_run_that_ends_while_it_is_migrated, leaving_fixture)
+{
+    this->add_endpoint("draft", "draft-3");
+    for (const bool is_close_delimited : {false, true}) {
+        const auto known = this->migrator.migrations.size();
+        const auto answer = this->send("/long/1");
+        this->head(200, is_close_delimited ? header_list{{"Close-Delimited", "1"}} : header_list{});
+        this->body(event(1));
+        this->announce(milliseconds{500});
+        this->time.run_for(milliseconds{10});
+        BOOST_REQUIRE(this->migrator.migrations.size() == known + 1);
+        this->body(event(2));
+        this->complete();
+        // Without framing, the stream may also have been stopped.
+        BOOST_TEST(answer->ended == !is_close_delimited);
+        this->migrator.migrations.back().done(make_error(errc::not_found, "move", "engine"));
+        BOOST_TEST(answer->ended);
+        BOOST_TEST(!answer->aborted);
+        BOOST_TEST(answer->body == event(1) + event(2));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(aborts_a_stream_that_may_have_been_stopped, leaving_fixture)
+{
+    const auto answer = this->send("/long/1");
+    this->head(200, {{"Close-Delimited", "1"}});
+    this->body(event(1));
+    this->announce(milliseconds{500});
+    this->time.run_for(milliseconds{10});
+    this->complete();
+    this->migrator.migrations[0].done(make_error(errc::timed_out, "move", "engine"));
+    BOOST_TEST(answer->aborted);
+    BOOST_TEST(!answer->ended);
+}
+
 BOOST_FIXTURE_TEST_CASE(does_not_migrate_from_engines_without_migration_support, leaving_fixture)
 {
     this->configuration.services.front().engine->can_migrate = false;
