Reset the connections of attempts that are given up

Cause: an attempt that is cancelled or fails closed its connection in an orderly way, which still delivers what is held up.

Change: such a connection is reset, so that nothing of the request arrives later. This also ends a request sooner whose caller has gone.

Evidence: a_cancelled_attempt_resets_its_connection failed before (the engine saw an orderly end).

--- a/lib/net/asio_endpoint_client.cpp
+++ b/lib/net/asio_endpoint_client.cpp
@@ -122,6 +122,7 @@
     void skip_answer();
     void skip_interim_answer();
     void fail(errc code, const std::string& detail);
+    void reset_connection();
     void restart_progress_timer();
 
     std::shared_ptr<asio_endpoint_client::pool> pool;
@@ -465,9 +466,7 @@
         return;
     }
     this->progress_timer.cancel();
-    if (this->connection) {
-        this->connection->stream.close();
-    }
+    this->reset_connection();
     std::exchange(this->observer, nullptr)
         ->on_failed(make_error(code, "call endpoint", this->address.to_string(), detail),
                     this->sent_state);
@@ -477,9 +476,18 @@
 {
     this->observer = nullptr;
     this->progress_timer.cancel();
-    if (this->connection) {
-        this->connection->stream.close();
+    this->reset_connection();
+}
+
+// An orderly close would still deliver a request that is held up on the way.
+void endpoint_attempt::reset_connection()
+{
+    if (!this->connection) {
+        return;
     }
+    error_code ignored; // a socket that is not open has nothing to deliver
+    this->connection->stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+    this->connection->stream.close();
 }
 
 void endpoint_attempt::retire(std::uint64_t generation)
--- a/unittests/net/asio_endpoint_client_test.cpp
+++ b/unittests/net/asio_endpoint_client_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <map>
 #include <optional>
 
@@ -287,6 +288,27 @@
     BOOST_TEST(!observer.has_ended());
 }
 
+// A request held up on the way reached a draining engine after its attempt had been given up.
+BOOST_FIXTURE_TEST_CASE(a_cancelled_attempt_resets_its_connection, client_fixture)
+{
+    tcp::acceptor acceptor{this->context, {asio::ip::make_address("127.0.0.1"), 0}};
+    std::optional<tcp::socket> accepted;
+    acceptor.async_accept([&](boost::system::error_code, tcp::socket socket) {
+        accepted.emplace(std::move(socket));
+    });
+    recording_observer observer;
+    auto handle = this->client.dispatch({"127.0.0.1", acceptor.local_endpoint().port()},
+                                        this->request("r/1"), observer);
+    BOOST_REQUIRE(run_until(this->context, [&] { return accepted && accepted->available() > 0; }));
+    handle.reset();
+    std::array<char, 1024> bytes{};
+    boost::system::error_code failure;
+    while (!failure) {
+        accepted->read_some(asio::buffer(bytes), failure);
+    }
+    BOOST_TEST((failure == asio::error::connection_reset));
+}
+
 namespace {
 
 /// A client whose limits a test can relax, as for endpoints that do not echo attempt ids.
