Do not pass on a moved run without any event as complete

Found while reading the path of moved runs: a run that was stopped before its first event, went on at another engine and ended there without one was answered as a whole, empty stream.

Cause: a stream without an event counted as broken off only if its attempt was a new run. Change: it counts as broken off if the caller has no event at all, from this request or the one that it resumes.

Evidence: a_moved_run_that_ends_without_any_event_is_not_complete failed before (200 instead of 502). Result: it holds, with all serving tests (a_resumed_stream_may_end_without_further_events among them).

--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -128,13 +128,14 @@
 }
 
 // A close-delimited stream of an engine that crashes ends like a complete one. Every run produces
-// at least one event; a resumed one may have no more to send.
+// at least one event; one that the caller has events of may have no more to send.
 const char* forward_flow::stream_end_defect() const
 {
     if (this->events.is_within_event()) {
         return "stream ended within an event";
     }
-    if (this->is_new_run && !this->answered_at) {
+    const bool has_forwarded = this->is_stream_started || !this->request.fields.last_event.empty();
+    if (!has_forwarded && !this->answered_at) {
         return "stream ended before its first event";
     }
     return nullptr;
--- a/unittests/serving/forward_migration_test.cpp
+++ b/unittests/serving/forward_migration_test.cpp
@@ -309,6 +309,18 @@
     BOOST_TEST(this->client.last().request.needs_new_connection);
 }
 
+// Nothing had been forwarded of the run, so its end without an event is no whole answer.
+BOOST_FIXTURE_TEST_CASE(a_moved_run_that_ends_without_any_event_is_not_complete, moved_run_fixture)
+{
+    const auto waiting = this->send("/long/1");
+    this->head();
+    this->announce(milliseconds{500});
+    this->stop_run(true);
+    this->head();
+    this->complete();
+    BOOST_TEST(waiting->status == 502);
+}
+
 BOOST_FIXTURE_TEST_CASE(resumes_a_repeatable_stream_that_no_engine_can_continue, moved_run_fixture)
 {
     this->configuration.routes[1].max_endpoints = 3;
