Let a run go on at its source over a kept connection

An engine that leaves refuses new connections after a while and serves those that it has. A run whose new engine was not reached, or whose KV cache was not copied, can only go on at such an engine, and was sent there on a new connection only.

Change: a request can fall back to a pooled connection if a new one is refused; the last engine that can continue a run is asked so. The first one is not: that a connection is refused must prove that it has not taken the run over.

Evidence: a_request_can_fall_back_to_a_pooled_connection and continues_a_moved_run_on_a_new_connection failed before.

--- a/include/eelgrassbend/endpoints/endpoint_client.h
+++ b/include/eelgrassbend/endpoints/endpoint_client.h
@@ -26,6 +26,7 @@
     duration progress_timeout{}; ///< longest time without data before the attempt fails
     bool needs_new_connection =
         false; ///< no pooled one, so that a failure to connect is `not_sent`
+    bool falls_back_to_pooled = false; ///< if a new connection is needed but refused
 };
 
 /// Whether an endpoint may have begun a failed attempt.
--- a/lib/net/asio_endpoint_client.cpp
+++ b/lib/net/asio_endpoint_client.cpp
@@ -111,6 +111,7 @@
 
 private:
     void connect();
+    void handle_connect_failure(error_code failure);
     void send();
     void on_request_sent(error_code failure);
     [[nodiscard]] bool is_answer_to_attempt() const;
@@ -266,7 +267,7 @@
                 return;
             }
             if (connect_failure) {
-                self->fail(errc::unavailable, connect_failure.message());
+                self->handle_connect_failure(connect_failure);
                 return;
             }
             error_code ignored;
@@ -275,6 +276,18 @@
         });
 }
 
+void endpoint_attempt::handle_connect_failure(error_code failure)
+{
+    if (this->request.falls_back_to_pooled && failure != beast::error::timeout) {
+        if (auto pooled = this->pool->acquire_idle(this->address)) {
+            this->connection = std::move(pooled);
+            this->send();
+            return;
+        }
+    }
+    this->fail(errc::unavailable, failure.message());
+}
+
 void endpoint_attempt::send()
 {
     this->connection->stream.expires_never();
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -247,6 +247,9 @@
     // connection may carry a repeat of the endpoint's earlier answer, which has the same id.
     attempt_request.needs_new_connection =
         this->continuation.has_value() || this->attempted.contains(chosen.endpoint);
+    // No other engine is tried after the source, which may accept no new connections any more.
+    attempt_request.falls_back_to_pooled =
+        this->continuation && chosen.endpoint == this->continuation->source.endpoint;
     return attempt_request;
 }
 
--- a/unittests/net/asio_endpoint_client_test.cpp
+++ b/unittests/net/asio_endpoint_client_test.cpp
@@ -42,6 +42,8 @@
         }
     }
 
+    void stop_accepting() { this->acceptor.close(); }
+
     void close_after_answer() { this->is_closing_after_answer = true; }
 
     void reset_after_answer()
@@ -204,6 +206,25 @@
     BOOST_TEST(server.accepted_connections == 2);
 }
 
+// An engine that leaves accepts no new connections, but serves those that it has.
+BOOST_FIXTURE_TEST_CASE(a_request_can_fall_back_to_a_pooled_connection, client_fixture)
+{
+    scripted_server server{this->context, echo};
+    recording_observer first;
+    this->run(server.address(), this->request("r/1"), first);
+    const auto address = server.address();
+    server.stop_accepting();
+    for (const bool may_fall_back : {false, true}) {
+        auto request_to_send = this->request("r/2");
+        request_to_send.needs_new_connection = true;
+        request_to_send.falls_back_to_pooled = may_fall_back;
+        recording_observer observer;
+        this->run(address, request_to_send, observer);
+        BOOST_TEST(observer.is_complete == may_fall_back);
+        BOOST_TEST((observer.sent_state == dispatch_state::not_sent));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_truncated_answer_fails, client_fixture)
 {
     scripted_server server{this->context, [](const std::string& request) {
--- a/unittests/serving/forward_migration_test.cpp
+++ b/unittests/serving/forward_migration_test.cpp
@@ -307,6 +307,11 @@
 {
     this->move_run("/long/1");
     BOOST_TEST(this->client.last().request.needs_new_connection);
+    BOOST_TEST(!this->client.last().request.falls_back_to_pooled);
+    this->fail(dispatch_state::not_sent);
+    BOOST_TEST(this->endpoint() == this->source);
+    BOOST_TEST(this->client.last().request.needs_new_connection);
+    BOOST_TEST(this->client.last().request.falls_back_to_pooled);
 }
 
 // Nothing had been forwarded of the run, so its end without an event is no whole answer.
