--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,8 +8,8 @@
 
 MEMORY_MB = 260
 FIRST = b"HTTP/1.1 200 OK\r\na"
-MORE = b":\r\na" * 250  # each write ends with the first letter of a line
-PAUSE_S = 0.0005
+MORE = b":\r\na" * 1000  # 4,000 bytes; each write ends with the first letter of a line
+PAUSE_S = 0.001
 
 
 async def case(record, disturbed, folder):
