store: confirm nothing by a partial read of the log

Cause: keyed_follower took each successful read as proof that everything before it had been applied. A read returns at most 1 MB; after nine seconds of refusals by the store 2.7 MB were to be read, and the first page confirmed the configuration. The page was relayed to other nodes as the newest position too. Ruled out: the calculation of staleness, which refused keyed requests correctly until the first page; the order of versions. Change: store_page says where the next read continues. Only a page that reaches the end of the log confirms or is relayed as the end, and the rest is read at once. Records that cannot be decoded count, so one at the end is not read again and again.

--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -97,12 +97,15 @@
     void apply_position(const topic_position& position, std::optional<monotonic_time> as_of);
     void read_if_behind();
     [[nodiscard]] bool is_behind() const;
-    void publish_positions(monotonic_time requested_at);
+    void read_rest(bool has_advanced);
+    void publish_positions(monotonic_time requested_at, bool reaches_end);
     /// Returns whether the record changed anything; a repeated record does not.
     bool apply(const store_record& record, bool after_gap);
     /// Time for which this node can rely on the relay.
     [[nodiscard]] duration relay_time_left() const;
-    void handle_success(monotonic_time requested_at);
+    void record_success();
+    /// Everything that was written before `as_of` has been reported.
+    void confirm(monotonic_time as_of);
     void handle_failure(const error& reason);
     void record_failure(const error& reason);
     /// Half to all of `pause`, which doubles up to the maximum.
--- a/include/eelgrassbend/store/record_store.h
+++ b/include/eelgrassbend/store/record_store.h
@@ -27,11 +27,12 @@
     friend bool operator==(const store_record&, const store_record&) = default;
 };
 
-/// Consecutive records from an offset. Empty if that offset lies before `first_retained`: the
-/// records there have expired.
+/// Consecutive records from an offset, possibly not all. Empty if that offset lies before
+/// `first_retained`: the records there have expired.
 struct store_page {
     log_offset first_retained;
-    log_offset end; ///< offset of the next record
+    log_offset end;  ///< of the log
+    log_offset next; ///< where the next read continues; before `end` if the page is partial
     std::vector<store_record> records;
 };
 
--- a/include/eelgrassbend/store/topic_relay.h
+++ b/include/eelgrassbend/store/topic_relay.h
@@ -19,7 +19,7 @@
     log_offset to;   ///< the next offset to be read
     duration age{};  ///< since the start of the read that confirmed `to`
     bool after_gap = false;
-    bool is_end = false;               ///< last position of the read; else more follow
+    bool is_end = false;               ///< last position of a read that reached the end of the log
     std::vector<store_record> changes; ///< in [from, to); records that changed nothing are left out
 
     friend bool operator==(const topic_position&, const topic_position&) = default;
@@ -54,9 +54,10 @@
     /// Adds the changes of a read up to `to`. A record too large for a datagram is left out with
     /// all records before it: other nodes have to read these themselves.
     void add(log_offset to, std::vector<store_record> changes, bool after_gap);
-    /// Consecutive positions up to the last read.
-    [[nodiscard]] std::vector<topic_position> positions(const std::string& topic,
-                                                        duration age) const;
+    /// Consecutive positions up to the last read. `reaches_end`: that read reached the end of the
+    /// log.
+    [[nodiscard]] std::vector<topic_position> positions(const std::string& topic, duration age,
+                                                        bool reaches_end) const;
 
 private:
     struct past_read {
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -152,9 +152,10 @@
         this->next_offset = this->snapshot_end;
         this->window.restart(*this->next_offset);
     }
-    this->handle_success(this->snapshot_requested_at);
+    this->record_success();
+    this->confirm(this->snapshot_requested_at);
     if (!is_following) {
-        this->publish_positions(this->snapshot_requested_at);
+        this->publish_positions(this->snapshot_requested_at, true);
         this->read_log();
     }
 }
@@ -187,31 +188,48 @@
     this->behind_since.reset();
     this->early_positions.clear();
     std::vector<store_record> changes;
+    const auto previous_offset = *this->next_offset;
     for (const auto& record : page.value().records) {
-        if (record.offset < *this->next_offset) {
-            continue;
-        }
-        if (this->apply(record, this->is_after_gap())) {
+        if (record.offset >= previous_offset && this->apply(record, this->is_after_gap())) {
             changes.push_back(record);
         }
-        this->next_offset = record.offset + log_offset{1};
     }
+    this->next_offset = std::max(previous_offset, page.value().next);
     this->window.add(*this->next_offset, std::move(changes), this->is_after_gap());
+    const bool reaches_end = *this->next_offset >= page.value().end;
     if (this->is_listing) {
         this->next_retry = this->settings.retry_pause;
     }
     else {
-        this->handle_success(requested_at);
-        this->publish_positions(requested_at);
+        this->record_success();
+        if (reaches_end) {
+            this->confirm(requested_at);
+        }
+        this->publish_positions(requested_at, reaches_end);
+    }
+    if (!reaches_end) {
+        this->read_rest(*this->next_offset > previous_offset);
+        return;
     }
     this->schedule(this->settings.pause, &keyed_follower::read_or_wait);
 }
 
-void keyed_follower::publish_positions(monotonic_time requested_at)
+// The records that follow have been written already, so neither the pause nor the relay delays the
+// read. A page without progress is a fault of the store.
+void keyed_follower::read_rest(bool has_advanced)
+{
+    if (has_advanced) {
+        this->read_log();
+        return;
+    }
+    this->schedule(this->next_pause(this->next_retry), &keyed_follower::read_log);
+}
+
+void keyed_follower::publish_positions(monotonic_time requested_at, bool reaches_end)
 {
     if (this->relay.is_reader()) {
         this->relay.publish(
-            this->window.positions(this->topic.name, this->time.now() - requested_at));
+            this->window.positions(this->topic.name, this->time.now() - requested_at, reaches_end));
     }
 }
 
@@ -332,9 +350,7 @@
     return this->recovered_at && this->time.now() - *this->recovered_at < record_rewrite_time;
 }
 
-// The result of a call includes everything written before the call was sent, but not necessarily
-// later records.
-void keyed_follower::handle_success(monotonic_time requested_at)
+void keyed_follower::record_success()
 {
     if (std::exchange(this->has_failed, false)) {
         this->recovered_at = this->time.now();
@@ -342,7 +358,13 @@
                         {{"dependency", "store"}, {"topic", this->topic.name}});
     }
     this->next_retry = this->settings.retry_pause;
-    this->confirmed_as_of = std::max(requested_at, this->confirmed_as_of.value_or(requested_at));
+}
+
+// A read that reaches the end includes everything written before the call was sent, but not
+// necessarily later records.
+void keyed_follower::confirm(monotonic_time as_of)
+{
+    this->confirmed_as_of = std::max(as_of, this->confirmed_as_of.value_or(as_of));
     this->observer.on_caught_up(*this->confirmed_as_of);
 }
 
--- a/lib/store/topic_relay.cpp
+++ b/lib/store/topic_relay.cpp
@@ -38,7 +38,8 @@
     }
 }
 
-std::vector<topic_position> relay_window::positions(const std::string& topic, duration age) const
+std::vector<topic_position> relay_window::positions(const std::string& topic, duration age,
+                                                    bool reaches_end) const
 {
     const auto start = this->reads.empty() ? this->next_offset : this->reads.front().from;
     std::vector<topic_position> positions;
@@ -59,7 +60,7 @@
         }
     }
     current.to = this->next_offset;
-    current.is_end = true;
+    current.is_end = reaches_end;
     positions.push_back(std::move(current));
     return positions;
 }
--- a/unittests/fakes/fake_record_store.h
+++ b/unittests/fakes/fake_record_store.h
@@ -4,8 +4,11 @@
 #include "eelgrassbend/store/record_store.h"
 #include "eelgrassbend/support/scheduler.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -133,6 +136,8 @@
     bool is_down = false;
     bool loses_next_answer = false;
     std::size_t page_size = 500;
+    std::optional<std::string> undecodable_key; ///< of records that reads of the log leave out
+    std::uint64_t log_page_size = 1'000'000;    ///< records of a read of the log
     int calls = 0;
 
 private:
@@ -164,9 +169,13 @@
             return;
         }
         if (from < page.end || wait <= duration::zero()) {
-            for (auto offset = from.value(); offset < log.records.size(); ++offset) {
-                page.records.push_back(log.records[offset]);
+            const auto end = std::min(log.records.size(), from.value() + this->log_page_size);
+            for (auto offset = from.value(); offset < end; ++offset) {
+                if (log.records[offset].key != this->undecodable_key) {
+                    page.records.push_back(log.records[offset]);
+                }
             }
+            page.next = log_offset{std::max(from.value(), end)};
             handler(page);
             return;
         }
--- a/unittests/platform_adapter/codec_test.cpp
+++ b/unittests/platform_adapter/codec_test.cpp
@@ -34,6 +34,7 @@
     BOOST_REQUIRE(page.has_value());
     BOOST_TEST((page.value().end == log_offset{12}));
     BOOST_TEST((page.value().first_retained == log_offset{3}));
+    BOOST_TEST((page.value().next == log_offset{842}));
     BOOST_REQUIRE(page.value().records.size() == 2U);
     BOOST_TEST((page.value().records[1].offset == log_offset{841}));
     BOOST_TEST(*page.value().records[1].value == "c");
@@ -48,6 +49,7 @@
     BOOST_REQUIRE(page.value().records.size() == 2U);
     BOOST_TEST(*page.value().records[0].value == "v");
     BOOST_TEST(!page.value().records[1].value.has_value());
+    BOOST_TEST((page.value().next == log_offset{3}));
 }
 
 BOOST_AUTO_TEST_CASE(truncated_pages_are_errors)
--- a/unittests/store/keyed_follower_test.cpp
+++ b/unittests/store/keyed_follower_test.cpp
@@ -173,6 +173,70 @@
     BOOST_TEST((this->time.now() - *this->follower.fresh_as_of() < seconds{5}));
 }
 
+// The first page of a long log was taken for all that had been written before the read, so that an
+// old configuration counted as confirmed.
+BOOST_FIXTURE_TEST_CASE(a_partial_page_of_the_log_confirms_nothing, follower_fixture)
+{
+    constexpr std::size_t keys = 10;
+    this->follower.start();
+    this->time.run_for(milliseconds{50});
+    this->store.is_down = true;
+    this->time.run_for(seconds{3});
+    for (std::size_t number = 0; number < keys; ++number) {
+        this->write("key-" + std::to_string(number), "1");
+    }
+    const auto before = this->follower.fresh_as_of();
+    const int confirmations = this->observer.confirmations;
+    this->store.log_page_size = 2;
+    this->store.is_down = false;
+    bool has_partial_state = false;
+    for (int step = 0; step < 2000 && this->observer.values.size() < keys; ++step) {
+        this->time.run_for(milliseconds{1});
+        if (this->observer.values.size() < keys) {
+            has_partial_state = has_partial_state || !this->observer.values.empty();
+            BOOST_REQUIRE((this->follower.fresh_as_of() == before));
+            BOOST_REQUIRE(this->observer.confirmations == confirmations);
+        }
+    }
+    BOOST_TEST(has_partial_state);
+    BOOST_TEST(this->observer.values.size() == keys);
+    BOOST_TEST((this->time.now() - *this->follower.fresh_as_of() <= milliseconds{10}));
+}
+
+// What follows a partial page has been written already, so neither a pause between the reads nor
+// the relay may delay it.
+BOOST_FIXTURE_TEST_CASE(the_rest_of_a_partial_page_is_read_at_once, follower_fixture)
+{
+    follower_settings settings;
+    settings.pause = seconds{5};
+    recording_observer received;
+    keyed_follower slow{this->store,        this->time,  this->random, this->log, this->counters,
+                        this->direct_reads, this->topic, settings,     received};
+    slow.start();
+    this->time.run_for(milliseconds{5});
+    for (int number = 0; number < 10; ++number) {
+        this->write("key-" + std::to_string(number), "1");
+    }
+    this->store.log_page_size = 2;
+    this->time.run_for(seconds{6});
+    BOOST_TEST(received.values.size() == 10U);
+}
+
+// A record without a key at the end of the log was read again and again.
+BOOST_FIXTURE_TEST_CASE(a_record_that_cannot_be_decoded_is_passed_over, follower_fixture)
+{
+    this->follower.start();
+    this->time.run_for(milliseconds{50});
+    this->store.undecodable_key = "odd";
+    this->write("a", "1");
+    this->write("odd", "1");
+    const int calls = this->store.calls;
+    this->time.run_for(seconds{10});
+    BOOST_TEST(this->store.calls - calls <= 8);
+    BOOST_TEST((this->time.now() - *this->follower.fresh_as_of() <=
+                2 * follower_settings{}.max_wait + milliseconds{50}));
+}
+
 namespace {
 
 /// One follower that reads and one that receives its positions.
@@ -315,6 +379,28 @@
     BOOST_TEST((*this->second.fresh_as_of() == this->time.now()));
 }
 
+// A reader that has only a part of the log must not confirm more to the nodes that it reads for.
+BOOST_FIXTURE_TEST_CASE(a_partial_page_of_the_reader_confirms_nothing, relay_fixture)
+{
+    this->time.run_for(seconds{1});
+    this->deliver_positions();
+    this->time.run_for(milliseconds{3});
+    const auto before = this->second.fresh_as_of();
+    this->store.log_page_size = 2;
+    for (int number = 0; number < 10; ++number) {
+        this->write("key-" + std::to_string(number), "1");
+    }
+    for (int step = 0; step < 100 && this->observer.values.size() < 10; ++step) {
+        this->time.run_for(milliseconds{1});
+        this->deliver_positions();
+        if (this->observer.values.size() < 10) {
+            BOOST_REQUIRE((this->second.fresh_as_of() == before));
+        }
+    }
+    BOOST_TEST(this->second_observer.values.size() == 10U);
+    BOOST_TEST((*this->second.fresh_as_of() > *before));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_follower_that_receives_nothing_reads_itself, relay_fixture)
 {
     this->time.run_for(seconds{3});
@@ -343,7 +429,7 @@
     for (std::uint64_t offset = 10; offset < 20; ++offset) {
         window.add(log_offset{offset + 1}, {{log_offset{offset}, "k", "v"}}, false);
     }
-    const auto positions = window.positions("records", milliseconds{5});
+    const auto positions = window.positions("records", milliseconds{5}, true);
     BOOST_REQUIRE(positions.size() == 1U);
     BOOST_TEST(positions[0].from.value() == 17U);
     BOOST_TEST(positions[0].to.value() == 20U);
@@ -359,7 +445,7 @@
         changes.push_back({log_offset{2 * offset}, "key", std::string(150, 'x')});
     }
     window.add(log_offset{60}, changes, false);
-    const auto positions = window.positions("records", {});
+    const auto positions = window.positions("records", {}, true);
     BOOST_TEST(positions.size() > 4U);
     log_offset next{0};
     std::size_t count = 0;
@@ -386,7 +472,7 @@
                 {log_offset{1}, "b", std::string(2 * max_position_bytes, 'x')},
                 {log_offset{2}, "c", "1"}},
                false);
-    const auto positions = window.positions("records", {});
+    const auto positions = window.positions("records", {}, true);
     BOOST_REQUIRE(positions.size() == 1U);
     BOOST_TEST(positions[0].from.value() == 2U);
     BOOST_TEST(positions[0].changes.size() == 1U);
