store: take no page without a readable record for the last one

Cause: of a page of the newest records that says that more follow, but whose records all lack a key or an offset, nothing says where the next one starts. It was taken for the last page: the keys behind it were reported as removed, and the state confirmed. Change: such a page counts as unreadable: the log is followed, nothing is confirmed, and the page is read again with pauses. Elsewhere: rollout_controller reads pages in the same way, but of a topic that only gateways write; not changed. Result: a_page_without_a_readable_record_is_not_the_last_one fails before (0 of 2 keys left, two confirmations) and passes after.

--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -103,11 +103,16 @@
     for (const auto& record : page.value().records) {
         this->apply(record, this->is_after_gap());
     }
-    if (page.value().has_more && !page.value().records.empty()) {
-        this->read_newest(page.value().records.back().key);
+    if (!page.value().has_more) {
+        this->finish_newest();
         return;
     }
-    this->finish_newest();
+    if (page.value().records.empty()) {
+        this->handle_page_failure(make_error(errc::invalid_argument, "read newest records", "store",
+                                             "page has no key to continue after"));
+        return;
+    }
+    this->read_newest(page.value().records.back().key);
 }
 
 // A failure of another kind concerns the store as a whole; the log could not be read either.
--- a/unittests/store/keyed_follower_test.cpp
+++ b/unittests/store/keyed_follower_test.cpp
@@ -513,6 +513,29 @@
     BOOST_TEST(!this->follower.is_failing());
 }
 
+// Such a page was taken for the last one, and the keys behind it for removed.
+BOOST_FIXTURE_TEST_CASE(a_page_without_a_readable_record_is_not_the_last_one, follower_fixture)
+{
+    this->write("a", "1");
+    this->write("b", "1");
+    this->follower.start();
+    this->time.run_for(milliseconds{50});
+    this->store.is_down = true;
+    this->time.run_for(seconds{3});
+    this->write("a", "2");
+    this->logs.forget_history("records");
+    const int confirmations = this->observer.confirmations;
+    this->store.page_size = 0;
+    this->store.is_down = false;
+    this->time.run_for(seconds{3});
+    BOOST_TEST(this->observer.values.size() == 2U);
+    BOOST_TEST(this->observer.confirmations == confirmations);
+    this->store.page_size = 500;
+    this->time.run_for(seconds{3});
+    BOOST_TEST(this->observer.values["a"] == "2");
+    BOOST_TEST(this->observer.confirmations > confirmations);
+}
+
 // A page that is sent before a change and arrives after it must not undo the change.
 BOOST_FIXTURE_TEST_CASE(a_late_page_does_not_undo_what_the_log_has_shown, follower_fixture)
 {
