placement: ignore records of endpoints that are older than known ones

Cause: endpoint_table took each record as newer than the one before. Ruled out: the relay and the follower, which deliver records in the order of the log; the answers of the engine, which say that it leaves but come too late for the first orders. Change: records carry their number; the table ignores those of an earlier incarnation and those with a lower number, also for two minutes after the removal, and does not relay them.

--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -16,6 +16,9 @@
 /// Version of the software that an endpoint runs.
 using software_version = strong_type<struct software_version_tag, std::string>;
 
+/// Number of a record among those that one incarnation of an endpoint writes; rises with each.
+using record_sequence = strong_number<struct record_sequence_tag, std::uint64_t>;
+
 /// The record that an endpoint publishes about itself in the store.
 struct endpoint_record {
     endpoint_id id;
@@ -30,13 +33,14 @@
     std::optional<duration> reclaim_in;
     int slots = 0;
     duration cold_start_left{}; ///< time until it reaches its normal speed
-    /// Wall clock start in milliseconds; distinguishes incarnations under one id.
+    /// Wall clock start in milliseconds; distinguishes incarnations under one id. 0 if unknown.
     std::int64_t started = 0;
+    std::optional<record_sequence> sequence;
 
     friend bool operator==(const endpoint_record&, const endpoint_record&) = default;
 };
 
-/// Whether two records are equal except for the remaining cold start time.
+/// Whether two records are equal except for the remaining cold start time and their number.
 bool has_same_state(const endpoint_record& before, const endpoint_record& after);
 
 /// An endpoint record with the state that this node derives for it.
@@ -58,7 +62,8 @@
 /// The endpoints of all services, from their records in the store and from the state that they
 /// report with their answers. An endpoint whose record is lost in a store outage stays usable for a
 /// grace period, since a live endpoint writes its record again. An incarnation that has reported
-/// that it drains stays draining even if its record says otherwise.
+/// that it drains stays draining even if its record says otherwise. A record that is older than one
+/// received before is ignored, as the store may execute a write late.
 class endpoint_table {
 public:
     /// Receives the record of an endpoint that changed state or incarnation, or was removed. An
@@ -69,7 +74,8 @@
     /// outage.
     explicit endpoint_table(duration missing_grace) : missing_grace(missing_grace) {}
 
-    void put(const endpoint_record& written, monotonic_time now);
+    /// Returns false if the record is outdated and was ignored.
+    bool put(const endpoint_record& written, monotonic_time now);
     /// Removes an endpoint whose record is gone. With `after_gap`, the store or the connection to
     /// it failed shortly before, so an endpoint that is not draining stays for the grace period.
     void remove(const endpoint_id& id, monotonic_time now, bool after_gap);
@@ -107,6 +113,15 @@
         monotonic_time reported_at;
     };
 
+    /// The newest record of an endpoint; outlives it, as an older record may be written after the
+    /// removal.
+    struct record_version {
+        std::int64_t started = 0;
+        std::optional<record_sequence> sequence;
+        monotonic_time received_at;
+    };
+
+    [[nodiscard]] bool is_outdated(const endpoint_record& written) const;
     void erase(const endpoint_id& id);
     reported_state& reported_state_of(const known_endpoint& endpoint, monotonic_time now);
     void mark_draining(const endpoint_id& id, bool is_from_answer, monotonic_time now);
@@ -114,6 +129,7 @@
     duration missing_grace;
     std::map<endpoint_id, known_endpoint> endpoints;
     std::map<endpoint_id, reported_state> reported_states;
+    std::map<endpoint_id, record_version> newest_versions;
     change_handler handle_change;
 };
 
--- a/lib/gateway/declaration_observers.cpp
+++ b/lib/gateway/declaration_observers.cpp
@@ -75,7 +75,11 @@
         const auto* known = this->endpoints.find(read.value().id);
         const bool is_same = known != nullptr && !known->missing_since &&
                              has_same_state(known->record, read.value());
-        this->endpoints.put(read.value(), now);
+        if (!this->endpoints.put(read.value(), now)) {
+            this->log.write(log_level::info, "endpoint_record_outdated",
+                            {{"endpoint", key}, {"draining", read.value().is_draining}});
+            return false;
+        }
         return !is_same;
     }
     this->log.write(log_level::warning, "endpoint_record_invalid",
--- a/lib/placement/endpoint_table.cpp
+++ b/lib/placement/endpoint_table.cpp
@@ -8,19 +8,40 @@
 /// How long other nodes are notified of a draining endpoint; by then they have received its updated
 /// record from the store.
 static constexpr std::chrono::seconds draining_report_time{5};
-/// How long a reported state outlives the endpoint's record, which can be restored after a store
-/// outage.
-static constexpr std::chrono::minutes reported_state_lifetime{2};
+/// How long the state of an endpoint outlives its record, which can be restored after a store
+/// outage or by a write that is executed late.
+static constexpr std::chrono::minutes departed_state_lifetime{2};
 
 bool has_same_state(const endpoint_record& before, const endpoint_record& after)
 {
     auto normalized = after;
     normalized.cold_start_left = before.cold_start_left;
+    normalized.sequence = before.sequence;
     return normalized == before;
 }
 
-void endpoint_table::put(const endpoint_record& written, monotonic_time now)
+// Without the start of the incarnation, a lower number may be that of a new one.
+bool endpoint_table::is_outdated(const endpoint_record& written) const
 {
+    const auto found = this->newest_versions.find(written.id);
+    if (found == this->newest_versions.end() || written.started == 0 ||
+        found->second.started == 0) {
+        return false;
+    }
+    const auto& newest = found->second;
+    if (written.started != newest.started) {
+        return written.started < newest.started;
+    }
+    return written.sequence && newest.sequence && *written.sequence < *newest.sequence;
+}
+
+bool endpoint_table::put(const endpoint_record& written, monotonic_time now)
+{
+    if (this->is_outdated(written)) {
+        return false;
+    }
+    this->newest_versions.insert_or_assign(written.id,
+                                           record_version{written.started, written.sequence, now});
     auto record = written;
     auto& entry = this->endpoints[record.id];
     if (const auto reported = this->reported_states.find(record.id);
@@ -46,6 +67,7 @@
     if (is_new && this->handle_change) {
         this->handle_change(record, false);
     }
+    return true;
 }
 
 void endpoint_table::remove(const endpoint_id& id, monotonic_time now, bool after_gap)
@@ -133,7 +155,11 @@
         const auto& [id, reported] = entry;
         const bool is_paused = reported.paused_until && now < *reported.paused_until;
         return !this->endpoints.contains(id) && !is_paused &&
-               now - reported.reported_at > reported_state_lifetime;
+               now - reported.reported_at > departed_state_lifetime;
+    });
+    std::erase_if(this->newest_versions, [&](const auto& entry) {
+        return !this->endpoints.contains(entry.first) &&
+               now - entry.second.received_at > departed_state_lifetime;
     });
 
     std::vector<endpoint_id> gone;
--- a/unittests/placement/endpoint_table_test.cpp
+++ b/unittests/placement/endpoint_table_test.cpp
@@ -67,6 +67,81 @@
     BOOST_TEST((table.find(endpoint_id{"a"}) == nullptr));
 }
 
+static endpoint_record numbered_record(std::int64_t started, std::uint64_t sequence,
+                                       bool is_draining = false)
+{
+    auto record = record_of("a", is_draining);
+    record.started = started;
+    record.sequence = record_sequence{sequence};
+    return record;
+}
+
+// A write whose answer was lost may be executed seconds later. It made a leaving endpoint usable.
+BOOST_AUTO_TEST_CASE(an_older_record_written_late_does_not_end_draining)
+{
+    endpoint_table table{missing_grace};
+    const monotonic_time now{seconds{10}};
+    BOOST_TEST(table.put(numbered_record(17, 1), now));
+    BOOST_TEST(table.put(numbered_record(17, 5, true), now));
+    BOOST_TEST(!table.put(numbered_record(17, 4), now));
+    BOOST_TEST(usable(table, now) == 0U);
+    BOOST_TEST(table.put(numbered_record(17, 6), now));
+    BOOST_TEST(usable(table, now) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_record_written_after_the_removal_is_ignored)
+{
+    endpoint_table table{missing_grace};
+    const monotonic_time now{seconds{10}};
+    table.put(numbered_record(17, 5, true), now);
+    table.remove(endpoint_id{"a"}, now, false);
+    BOOST_TEST(!table.put(numbered_record(17, 4), now + seconds{6}));
+    BOOST_TEST((table.find(endpoint_id{"a"}) == nullptr));
+    BOOST_TEST(table.put(numbered_record(17, 6), now + seconds{6}));
+    BOOST_TEST(usable(table, now + seconds{6}) == 1U);
+}
+
+// The record of an earlier incarnation would also end what is known of the later one.
+BOOST_AUTO_TEST_CASE(a_record_of_an_earlier_incarnation_written_late_is_ignored)
+{
+    endpoint_table table{missing_grace};
+    const monotonic_time now{seconds{10}};
+    table.put(numbered_record(17, 90), now);
+    BOOST_TEST(table.put(numbered_record(18, 1), now));
+    table.mark_draining_from_answer(endpoint_id{"a"}, now);
+    BOOST_TEST(!table.put(numbered_record(17, 91), now));
+    BOOST_TEST(table.put(numbered_record(18, 2), now));
+    BOOST_TEST(usable(table, now) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(records_without_a_start_or_a_number_are_used_as_they_come)
+{
+    endpoint_table table{missing_grace};
+    const monotonic_time now{seconds{10}};
+    table.put(numbered_record(0, 5, true), now);
+    BOOST_TEST(table.put(numbered_record(0, 1), now));
+    BOOST_TEST(usable(table, now) == 1U);
+    auto unnumbered = record_of("a", true);
+    unnumbered.started = 17;
+    table.put(numbered_record(17, 5), now);
+    BOOST_TEST(table.put(unnumbered, now));
+    BOOST_TEST(usable(table, now) == 0U);
+}
+
+// An endpoint that expired in an outage of the store returns with an older record if the store
+// lists it again, and stays missing until it writes itself.
+BOOST_AUTO_TEST_CASE(an_older_record_does_not_restore_a_missing_endpoint)
+{
+    endpoint_table table{missing_grace};
+    const monotonic_time now{seconds{10}};
+    table.put(numbered_record(17, 5), now);
+    table.remove(endpoint_id{"a"}, now, true);
+    BOOST_TEST(!table.put(numbered_record(17, 4), now + milliseconds{500}));
+    BOOST_TEST(usable(table, now + missing_grace) == 0U);
+    BOOST_TEST(table.put(numbered_record(17, 6), now + missing_grace));
+    BOOST_TEST(usable(table, now + missing_grace) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(each_change_of_state_or_incarnation_is_reported_once)
 {
     endpoint_table table{missing_grace};
--- a/unittests/platform_adapter/codec_test.cpp
+++ b/unittests/platform_adapter/codec_test.cpp
@@ -140,6 +140,7 @@
     BOOST_TEST(decoded.is_reclaimable);
     BOOST_TEST((decoded.reclaim_in == std::chrono::milliseconds{2500}));
     BOOST_TEST(decoded.started == 17);
+    BOOST_TEST((decoded.sequence == record_sequence{4}));
 }
 
 static std::string endpoint_with(const std::string& field, const std::string& value)
