gateway: register again if a node's record is lost to a late write

Cause: the store may execute the deregistration, or the registration at another address, of a node's former process after its successor has registered. The record in the store is then missing or wrong until the next restart, and nodes that start later do not find the node. Change: a node that reads such a record under its own name registers again, unless it is leaving. Result: a_node_registers_again_after_a_late_write_of_its_former_process fails before and passes after; a_node_that_stops_does_not_register_again passes before and after.

--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -81,7 +81,11 @@
     static store_topic topic() { return {"entry-nodes", true}; }
 
 private:
+    [[nodiscard]] std::string own_record() const;
     void register_node();
+    void schedule_registration();
+    /// This node's record is missing in the store, or is that of a former process.
+    void handle_own_record_lost();
     void tick();
     void send_digest();
     void send_usage();
@@ -124,6 +128,7 @@
     std::uint64_t digest_batches = 1; ///< rounds over which a digest to all nodes is spread
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    bool is_registered = false;
     bool is_leaving = false;
 };
 
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -81,31 +81,66 @@
     this->tick();
 }
 
-void node_presence::register_node()
+std::string node_presence::own_record() const
 {
     const nlohmann::json record{{"ip", this->identity.datagrams.ip},
                                 {"port", this->identity.datagrams.port},
                                 {"zone", this->identity.zone.value()}};
+    return record.dump();
+}
+
+void node_presence::register_node()
+{
     this->dependencies.store.append(
-        topic(), {{log_offset{}, this->identity.node.value(), record.dump()}}, std::nullopt,
+        topic(), {{log_offset{}, this->identity.node.value(), this->own_record()}}, std::nullopt,
         this->scope.guard([this](const result<append_answer>& answer) {
-            if (answer) {
-                this->handlers.on_registered();
+            if (!answer) {
+                this->dependencies.log.write(log_level::warning, "register_failed",
+                                             {{"error", answer.error().to_string()}});
+                this->schedule_registration();
                 return;
             }
-            this->dependencies.log.write(log_level::warning, "register_failed",
-                                         {{"error", answer.error().to_string()}});
-            this->register_timer = this->dependencies.time.call_after(
-                registration_retry_pause, [this] { this->register_node(); });
+            if (!std::exchange(this->is_registered, true)) {
+                this->handlers.on_registered();
+            }
         }));
 }
 
+void node_presence::schedule_registration()
+{
+    if (this->register_timer) {
+        return;
+    }
+    this->register_timer = this->dependencies.time.call_after(registration_retry_pause, [this] {
+        this->register_timer.reset();
+        if (!this->is_leaving) {
+            this->register_node();
+        }
+    });
+}
+
+// The store may execute a write of a former process of this node after this one has registered. The
+// other nodes would then not find this one.
+void node_presence::handle_own_record_lost()
+{
+    if (this->is_leaving) {
+        return;
+    }
+    this->dependencies.log.write(log_level::warning, "node_record_lost",
+                                 {{"node", this->identity.node.value()}});
+    this->schedule_registration();
+}
+
 bool node_presence::on_record_written(const std::string& key, const std::string& value)
 {
     if (quarantine_records::is_own_key(key)) {
         this->quarantines.on_record_written(key, value);
         return true;
     }
+    if (key == this->identity.node.value() && value != this->own_record()) {
+        this->handle_own_record_lost();
+        return true;
+    }
     const auto parsed = nlohmann::json::parse(value, nullptr, false);
     const bool is_valid = parsed.is_object() && parsed.contains("ip") && parsed.contains("port") &&
                           parsed.contains("zone") && parsed["ip"].is_string() &&
@@ -127,6 +162,10 @@
         this->quarantines.on_record_removed(key);
         return;
     }
+    if (key == this->identity.node.value()) {
+        this->handle_own_record_lost();
+        return;
+    }
     this->models.fleet.remove_record(node_id{key});
 }
 
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -50,6 +50,37 @@
     BOOST_TEST(fleet.nodes[0]->node.ready_addresses().size() == 2U);
 }
 
+// The store may execute a write of a node's former process after its successor has registered.
+// Nodes that started later did not find the node.
+BOOST_AUTO_TEST_CASE(a_node_registers_again_after_a_late_write_of_its_former_process)
+{
+    const store_topic topic{"entry-nodes", true};
+    const std::string former = R"({"ip":"10.0.9.9","port":7600,"zone":"b"})";
+    for (const auto& late : {std::optional<std::string>{}, std::optional{former}}) {
+        gateway_fleet fleet{3};
+        const auto before = fleet.logs.topics[topic.name].newest["front-2"].value;
+        fleet.logs.write(topic, "front-2", late);
+        fleet.time.run_for(seconds{10});
+        const auto& newest = fleet.logs.topics[topic.name].newest;
+        BOOST_REQUIRE(newest.contains("front-2"));
+        BOOST_TEST((newest.at("front-2").value == before));
+        const auto writes = fleet.logs.topics[topic.name].records.size();
+        fleet.time.run_for(seconds{20});
+        BOOST_TEST(fleet.logs.topics[topic.name].records.size() == writes);
+        for (const auto& node : fleet.nodes) {
+            BOOST_TEST(node->node.ready_addresses().size() == 3U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_stops_does_not_register_again)
+{
+    gateway_fleet fleet{3};
+    fleet.nodes[1]->node.begin_stop();
+    fleet.time.run_for(seconds{15});
+    BOOST_TEST(!fleet.logs.topics["entry-nodes"].newest.contains("front-2"));
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_applies_on_all_nodes_and_never_reverts)
 {
     gateway_fleet fleet{3};
