net: fail an attempt whose answer has an invalid status

Callers saw: nothing until the deadline. A report of other operators: a client got an answer with status 000. Here it did not reach the caller, but counted as an interim answer: the request waited for the final one, and one that cannot be repeated has no other timer. Statuses from 600 to 999 were passed on, and 101 was skipped although no client asks for another protocol. Change: only 100 and 102 to 199 are interim and 200 to 599 final; the attempt fails at once with any other, and its connection is reset. The client of the store and the cloud fails as before, and now also beyond 599.

--- a/lib/net/asio_endpoint_client.cpp
+++ b/lib/net/asio_endpoint_client.cpp
@@ -28,7 +28,6 @@
 using boost::system::error_code;
 
 static constexpr unsigned http_1_1 = 11;
-static constexpr unsigned first_final_status = 200;
 static constexpr std::size_t read_buffer_bytes = 16 * 1024;
 /// Number of interim (1xx) answers that may precede the final one.
 static constexpr int max_interim_answers = 8;
@@ -220,10 +219,14 @@
         return;
     }
     const auto& head = this->parser->get();
-    if (head.result_int() < first_final_status) {
+    if (is_interim_status(head.result_int())) {
         this->skip_interim_answer();
         return;
     }
+    if (!is_final_status(head.result_int())) {
+        this->fail(errc::outcome_unknown, "invalid status " + std::to_string(head.result_int()));
+        return;
+    }
     this->is_mismatched = !this->is_answer_to_attempt();
     if (this->is_mismatched) {
         this->skip_answer();
--- a/lib/net/asio_http_client.cpp
+++ b/lib/net/asio_http_client.cpp
@@ -25,7 +25,6 @@
 static constexpr std::size_t max_header_bytes = 16 * 1024;
 static constexpr std::size_t max_body_bytes = 64 * 1024 * 1024;
 static constexpr std::chrono::seconds idle_timeout{10};
-static constexpr unsigned first_final_status = 200;
 
 struct asio_http_client::pool {
     pool(asio::io_context& context, descriptor_budget* descriptors)
@@ -160,11 +159,12 @@
         this->fail_after_sending(failure);
         return;
     }
-    if (this->parser->get().result_int() < first_final_status) {
+    const auto status = this->parser->get().result_int();
+    if (!is_final_status(status)) {
         // No caller requests interim answers, so one is an error and the final answer is not
         // awaited.
         this->connection->stream.close();
-        this->fail(errc::outcome_unknown, "interim answer");
+        this->fail(errc::outcome_unknown, "status " + std::to_string(status) + " is not final");
         return;
     }
     http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
--- a/unittests/net/broken_answer_test.cpp
+++ b/unittests/net/broken_answer_test.cpp
@@ -121,6 +121,29 @@
     }
 }
 
+// Status 000 counted as an interim answer, and the request waited for another one until its
+// deadline; statuses beyond 599 were passed on.
+BOOST_FIXTURE_TEST_CASE(an_answer_with_an_invalid_status_fails_at_once, permissive_fixture)
+{
+    for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+        scripted_server server{this->context, [&](const std::string&) {
+                                   return "HTTP/1.1 " + std::string{status} +
+                                          " No\r\nX-Attempt-Id: r/1\r\nContent-Length: 0\r\n\r\n";
+                               }};
+        auto request = this->request("r/1");
+        request.progress_timeout = std::chrono::seconds{5};
+        recording_observer observer;
+        const auto handle = this->client.dispatch(server.address(), request, observer);
+        BOOST_TEST(
+            run_until(
+                this->context, [&] { return observer.has_ended(); }, std::chrono::seconds{2}),
+            status);
+        BOOST_TEST(!observer.is_complete, status);
+        BOOST_TEST(observer.status == 0, status);
+        BOOST_TEST((observer.sent_state == dispatch_state::maybe_sent), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_of_a_server_that_ends_within_its_head_fails)
 {
     const std::string head = framed_head;
