serving: answer the requests in flight at the end of a planned stop

A process test shows it here: a hanging order and a lookup sent before the stop, and both sent 0.5 s after it, were cut at 7.6 s of 8. Cause: the process exited with requests in flight, and took requests of any length in the first part of the stop. Change: at 0.95 of the stop each request in flight gets an answer, 504 if it was sent to an endpoint and 503 if it was not; only a stream that has begun is cut. The process exits at 0.98 at the latest. From the start of the stop, a request that may run only once and whose deadline lies beyond the end is refused with 503; its caller can go to another node. Ruled out: requests that come after the first part of the stop, on kept connections too, were refused before.

--- a/include/eelgrassbend/gateway/gateway.h
+++ b/include/eelgrassbend/gateway/gateway.h
@@ -56,10 +56,13 @@
     void on_table_change(table_handler handler);
     /// The node is not ready while `check` returns false.
     void set_capacity_check(capacity_check check);
-    /// Withdraws this node from the directory; requests are still accepted.
-    void begin_stop();
+    /// Withdraws this node from the directory; requests are still accepted, except those that may
+    /// run only once and may last beyond `end`.
+    void begin_stop(monotonic_time end);
     /// Refuses new requests.
     void stop_accepting();
+    /// Ends the requests in flight, each with an answer unless a part of one has been sent.
+    void end_requests();
 
     [[nodiscard]] bool is_ready() const;
     /// Addresses of the nodes that accept callers, in random order; includes this node if it is
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -43,6 +43,9 @@
     monotonic_time received_at;
 };
 
+/// When a request with a route has to be answered.
+monotonic_time deadline_of(const forwarded_request& request);
+
 /// Forwards one request to an endpoint and the endpoint's answer back, byte for byte. A repeatable
 /// request is retried at another endpoint if an attempt fails; a resumable stream continues after
 /// the last event forwarded to the caller.
@@ -64,6 +67,9 @@
     /// Ends the request if its prompt parts are now in quarantine and no answer has been produced.
     void handle_quarantine_started();
 
+    /// Ends the request, as the process is about to stop.
+    void handle_stop();
+
     /// Whether an attempt at the endpoint is in flight.
     [[nodiscard]] bool has_attempt_at(const endpoint_id& endpoint) const
     {
@@ -93,7 +99,9 @@
     };
 
     [[nodiscard]] bool is_stream() const;
-    [[nodiscard]] monotonic_time deadline() const;
+
+    [[nodiscard]] monotonic_time deadline() const { return deadline_of(this->request); }
+
     [[nodiscard]] bool can_repeat_attempt() const;
     [[nodiscard]] placement_request make_placement_request() const;
     /// Whether the request competes for capacity under `admission_controller`. A stream that has
--- a/include/eelgrassbend/serving/forward_handler.h
+++ b/include/eelgrassbend/serving/forward_handler.h
@@ -31,9 +31,16 @@
 
     [[nodiscard]] bool has_requests_at(const endpoint_id& endpoint) const;
 
+    /// The process stops at `end`. Requests that may run only once and may take longer are refused
+    /// from now on.
+    void begin_stop(monotonic_time end) { this->stops_at = end; }
+
     /// Refuses all later requests.
     void stop_accepting() { this->is_accepting = false; }
 
+    /// Ends the requests in flight, each with an answer unless a part of one has been sent.
+    void end_requests();
+
     /// Whether requests that need a key can be served.
     [[nodiscard]] bool is_ready() const;
 
@@ -48,6 +55,8 @@
     /// Resolves the route, the service and the organisation of `request`; returns the refusal, if
     /// any.
     std::optional<forward_refusal> check_request(forwarded_request& request) const;
+    /// Whether the request may run only once and may outlast the process.
+    [[nodiscard]] bool may_be_cut(const forwarded_request& request) const;
     std::optional<forward_refusal> authenticate(forwarded_request& request) const;
     /// Refuses requests with prompt parts that are in quarantine.
     std::optional<forward_refusal> check_quarantine(forwarded_request& request);
@@ -58,6 +67,7 @@
     const forward_services& services;
     std::shared_ptr<const route_table> table;
     std::optional<monotonic_time> confirmed_at;
+    std::optional<monotonic_time> stops_at;
     bool is_accepting = true;
     std::unordered_map<const forward_flow*, std::shared_ptr<forward_flow>> flows;
 };
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -393,9 +393,10 @@
     this->state->has_capacity = std::move(check);
 }
 
-void gateway::begin_stop()
+void gateway::begin_stop(monotonic_time end)
 {
     this->state->is_stopping = true;
+    this->state->front.begin_stop(end);
     this->state->lease.resign();
     this->state->presence.announce_leaving();
 }
@@ -405,6 +406,11 @@
     this->state->front.stop_accepting();
 }
 
+void gateway::end_requests()
+{
+    this->state->front.end_requests();
+}
+
 bool gateway::is_ready() const
 {
     return !this->state->is_stopping && this->state->front.is_ready() &&
--- a/lib/serving/forward_end.cpp
+++ b/lib/serving/forward_end.cpp
@@ -49,6 +49,19 @@
                          this->services.settings.max_retry_after);
 }
 
+// A connection that ends without an answer tells the caller less than a status.
+void forward_flow::handle_stop()
+{
+    if (!this->is_open) {
+        return;
+    }
+    const auto self = this->shared_from_this();
+    this->cancel_request(status_gateway_timeout,
+                         make_error(errc::unavailable, "await answer",
+                                    this->current_placement.endpoint.value(), "node stops"),
+                         this->services.settings.min_retry_after);
+}
+
 void forward_flow::handle_caller_disconnected()
 {
     if (!this->is_open) {
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -79,16 +79,16 @@
     return this->request.matched_route->kind == request_kind::stream;
 }
 
-monotonic_time forward_flow::deadline() const
+monotonic_time deadline_of(const forwarded_request& request)
 {
     auto span = duration{max_request_time};
-    if (this->request.matched_route->timeout > duration::zero()) {
-        span = std::min(span, this->request.matched_route->timeout);
+    if (request.matched_route->timeout > duration::zero()) {
+        span = std::min(span, request.matched_route->timeout);
     }
-    if (this->request.fields.time_left) {
-        span = std::min(span, *this->request.fields.time_left);
+    if (request.fields.time_left) {
+        span = std::min(span, *request.fields.time_left);
     }
-    return this->request.received_at + span;
+    return request.received_at + span;
 }
 
 placement_request forward_flow::make_placement_request() const
--- a/lib/serving/forward_handler.cpp
+++ b/lib/serving/forward_handler.cpp
@@ -54,6 +54,14 @@
     }
 }
 
+void forward_handler::end_requests()
+{
+    const auto running = this->flows;
+    for (const auto& [key, flow] : running) {
+        flow->handle_stop();
+    }
+}
+
 bool forward_handler::has_requests_at(const endpoint_id& endpoint) const
 {
     return std::any_of(this->flows.begin(), this->flows.end(),
@@ -99,13 +107,24 @@
     this->start_flow(std::move(admitted));
 }
 
+static forward_refusal refused_by_stopping_node()
+{
+    auto refused = refused_with(status_unavailable, errc::unavailable, "take request",
+                                "node is stopping", stopping_retry_after);
+    refused.closes_connection = true;
+    return refused;
+}
+
+bool forward_handler::may_be_cut(const forwarded_request& request) const
+{
+    return this->stops_at && !request.matched_route->is_repeatable() &&
+           deadline_of(request) > *this->stops_at;
+}
+
 std::optional<forward_refusal> forward_handler::check_request(forwarded_request& request) const
 {
     if (!this->is_accepting) {
-        auto refused = refused_with(status_unavailable, errc::unavailable, "take request",
-                                    "node is stopping", stopping_retry_after);
-        refused.closes_connection = true;
-        return refused;
+        return refused_by_stopping_node();
     }
     if (!this->table) {
         return refused_with(status_unavailable, errc::unavailable, "take request",
@@ -127,6 +146,9 @@
         return refused_with(status_bad_request, errc::invalid_argument, "read request",
                             "no request id");
     }
+    if (this->may_be_cut(request)) {
+        return refused_by_stopping_node();
+    }
     request.target = select_service(*request.matched_route, random_unit(this->services.random));
     request.service = this->table->find_service(request.target);
     return this->authenticate(request);
--- a/tools/eelgrassbend-gateway/gateway_daemon.cpp
+++ b/tools/eelgrassbend-gateway/gateway_daemon.cpp
@@ -33,8 +33,10 @@
 /// Part of the stop time for which requests are still taken: callers keep answers of the
 /// directory, and what they send last has to be answered within the rest.
 static constexpr double taking_part = 0.36;
-/// Part of the stop time at whose end the process leaves whatever is under way.
+/// Part of the stop time at whose end the requests in flight are ended.
 static constexpr double serving_part = 0.95;
+/// Part of the stop time at whose end the process exits, whether or not all answers are written.
+static constexpr double exit_part = 0.98;
 static constexpr std::chrono::milliseconds stop_poll{20};
 /// Connections of the directory, readiness check and metrics, and the bytes of their requests,
 /// which have no body.
@@ -144,7 +146,7 @@
     void reload();
     void planned_stop();
     void stop_taking();
-    void wait_for_requests(monotonic_time until);
+    void wait_for_requests();
 
     gateway_settings settings;
     std::string settings_file;
@@ -158,6 +160,8 @@
     std::vector<listener> beside;
     std::optional<resource_monitor> monitor;
     bool is_stopping = false;
+    monotonic_time serves_until; ///< once it is stopping
+    monotonic_time exits_at;     ///< once it is stopping
 };
 
 } // namespace
@@ -306,12 +310,14 @@
     this->is_stopping = true;
     this->parts->log.write(log_level::info, "planned_stop",
                            {{"requests", this->parts->node.active_requests()}});
-    this->parts->node.begin_stop();
+    const auto now = this->parts->time.now();
+    this->serves_until = now + part_of(serving_part, this->settings.bounds.stop);
+    this->exits_at = now + part_of(exit_part, this->settings.bounds.stop);
+    this->parts->node.begin_stop(this->serves_until);
     this->server->announce_close();
-    const auto until = this->parts->time.now() + part_of(serving_part, this->settings.bounds.stop);
-    this->parts->time.call_after(part_of(taking_part, this->settings.bounds.stop), [this, until] {
+    this->parts->time.call_after(part_of(taking_part, this->settings.bounds.stop), [this] {
         this->stop_taking();
-        this->wait_for_requests(until);
+        this->wait_for_requests();
     });
 }
 
@@ -322,15 +328,19 @@
     this->server->drain();
 }
 
-void gateway_daemon::wait_for_requests(monotonic_time until)
+void gateway_daemon::wait_for_requests()
 {
+    const auto now = this->parts->time.now();
+    if (now >= this->serves_until) {
+        this->parts->node.end_requests();
+    }
     const auto active = this->server->active_exchanges() + this->parts->node.active_requests();
-    if (active == 0 || this->parts->time.now() >= until) {
+    if (active == 0 || now >= this->exits_at) {
         this->parts->log.write(log_level::info, "stopped", {{"requests_left", active}});
         this->context.stop();
         return;
     }
-    this->parts->time.call_after(stop_poll, [this, until] { this->wait_for_requests(until); });
+    this->parts->time.call_after(stop_poll, [this] { this->wait_for_requests(); });
 }
 
 int gateway_daemon::run()
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -32,7 +32,7 @@
 {
     gateway_fleet fleet{3};
     auto& stopping = *fleet.nodes[2];
-    stopping.node.begin_stop();
+    stopping.node.begin_stop(fleet.time.now() + seconds{8});
     fleet.time.run_for(milliseconds{50});
     for (const auto& node : fleet.nodes) {
         BOOST_TEST(node->node.ready_addresses().size() == 2U);
@@ -76,7 +76,7 @@
 BOOST_AUTO_TEST_CASE(a_node_that_stops_does_not_register_again)
 {
     gateway_fleet fleet{3};
-    fleet.nodes[1]->node.begin_stop();
+    fleet.nodes[1]->node.begin_stop(fleet.time.now() + seconds{8});
     fleet.time.run_for(seconds{15});
     BOOST_TEST(!fleet.logs.topics["entry-nodes"].newest.contains("front-2"));
 }
--- a/unittests/serving/forward_handler_test.cpp
+++ b/unittests/serving/forward_handler_test.cpp
@@ -93,6 +93,52 @@
     BOOST_TEST(this->handler.active_requests() == 0U);
 }
 
+// At the end of a planned stop the connections of unfinished requests were closed without an
+// answer.
+BOOST_FIXTURE_TEST_CASE(answers_all_requests_at_the_end_of_a_stop, forward_fixture)
+{
+    const auto order = this->send("/order/1");
+    const auto lookup = this->send("/look/1");
+    const auto stream = this->send("/short/1");
+    const auto started = this->send("/long/1");
+    this->head();
+    this->body("id: 1\ndata: x\n\n");
+    this->handler.end_requests();
+    for (const auto& answer : {order, lookup, stream}) {
+        BOOST_TEST(answer->status == 504);
+        BOOST_TEST(answer->ended);
+    }
+    BOOST_TEST(started->aborted);
+    BOOST_TEST(this->handler.active_requests() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_waits_for_an_endpoint_at_the_end_of_a_stop_has_not_run,
+                        forward_fixture)
+{
+    auto waiting = this->send("/order/1");
+    for (std::size_t sent = 1; this->client.attempts.size() == sent && sent < 100; ++sent) {
+        waiting = this->send("/order/1");
+    }
+    BOOST_REQUIRE(!waiting->ended);
+    this->handler.end_requests();
+    BOOST_TEST(waiting->status == 503);
+    BOOST_TEST(!waiting->header("Retry-After").empty());
+}
+
+// Such a request would be cut off at the end of the stop, and its caller must not repeat it.
+BOOST_FIXTURE_TEST_CASE(refuses_requests_that_run_once_and_may_outlast_a_stop, forward_fixture)
+{
+    this->handler.begin_stop(this->time.now() + std::chrono::seconds{3});
+    const auto refused = this->send("/order/1");
+    BOOST_TEST(refused->status == 503);
+    BOOST_TEST(!refused->header("Retry-After").empty());
+    BOOST_TEST(this->client.attempts.empty());
+    this->send("/order/1", {{"Time-Left-Ms", "2000"}});
+    BOOST_TEST(this->client.attempts.size() == 1U);
+    this->send("/look/1");
+    BOOST_TEST(this->client.attempts.size() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(counts_usage_once_per_request, forward_fixture)
 {
     this->send("/look/1");
