net, store, placement: name status ranges and state what is kept

Change: the ranges of statuses have names; two comments say what a partial page leads to and what of a removed endpoint is kept. No behaviour changes.

--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -113,8 +113,8 @@
         monotonic_time reported_at;
     };
 
-    /// The newest record of an endpoint; outlives it, as an older record may be written after the
-    /// removal.
+    /// Version of the newest record of an endpoint; outlives the endpoint, as an older record may
+    /// be written after the removal.
     struct record_version {
         std::int64_t started = 0;
         std::optional<record_sequence> sequence;
--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -97,6 +97,7 @@
     void apply_position(const topic_position& position, std::optional<monotonic_time> as_of);
     void read_if_behind();
     [[nodiscard]] bool is_behind() const;
+    /// Continues after a partial page; `has_advanced`: the page had records.
     void read_rest(bool has_advanced);
     void publish_positions(monotonic_time requested_at, bool reaches_end);
     /// Returns whether the record changed anything; a repeated record does not.
--- a/lib/net/answer_head.h
+++ b/lib/net/answer_head.h
@@ -15,18 +15,22 @@
 using answer_parser = boost::beast::http::basic_parser<false>;
 using head_handler = std::function<void(boost::system::error_code)>;
 
-/// Whether a status is that of an interim answer. A client that requests no other protocol gets no
-/// 101.
+/// Whether a status is that of an interim answer to a client that requests no other protocol.
 [[nodiscard]] constexpr bool is_interim_status(unsigned status)
 {
-    return status >= 100 && status <= 199 && status != 101;
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 199;
+    constexpr unsigned switching_protocols = 101;
+    return status >= first && status <= last && status != switching_protocols;
 }
 
-/// Whether a status is that of a final answer. Values beyond 599 are invalid (RFC 9110, section
-/// 15).
+/// Whether a status is that of a final answer. Others than these and the interim ones are invalid
+/// (RFC 9110, section 15).
 [[nodiscard]] constexpr bool is_final_status(unsigned status)
 {
-    return status >= 200 && status <= 599;
+    constexpr unsigned first = 200;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
 }
 
 /// Reads the head of an answer into `parser`, which must live until `done` is called. `done` is not
