net: bound the head of a request over all reads

Callers would see: requests cut when the process runs out of memory. Cause: that of the answers: the parser keeps complete lines and applies its limit to the bytes of one call. request_reader counted the fields only once the head was complete, so a caller could fill the memory for header_timeout, three seconds. Change: request_reader counts bytes and lines of a head over all calls. The first line and the fields may each be as long as the limit, as before. Result: an_endless_request_is_cut_off, a head of short lines in small pieces, fails before (12.9 MB accepted on one connection) and passes after; the kind with empty lines passes before too. net-tests pass, 78 cases.

--- a/lib/net/request_reader.cpp
+++ b/lib/net/request_reader.cpp
@@ -32,6 +32,8 @@
     this->parser.emplace();
     this->parser->header_limit(static_cast<std::uint32_t>(this->limits.max_header_bytes));
     this->parser->body_limit(this->limits.max_body_bytes);
+    this->head_bytes = 0;
+    this->head_lines = 0;
     this->extension_bytes = 0;
     this->on_chunk_header = [this](std::uint64_t, boost::beast::string_view extensions,
                                    boost::system::error_code& code) {
@@ -96,16 +98,14 @@
     // Empty lines before a request are ignored, as by most servers.
     boost::system::error_code code;
     const auto consumed = this->parser->put(asio::buffer(bytes.data(), bytes.size()), code);
+    const auto parsed = bytes.substr(0, consumed);
     bytes.remove_prefix(consumed);
-    if (code == http::error::need_more) {
-        if (bytes.size() > this->limits.max_header_bytes) {
-            return this->fail(http::error::header_limit);
-        }
-        return progress::needs_input;
-    }
-    if (code) {
+    if (code && code != http::error::need_more) {
         return this->fail(code);
     }
+    if (!this->check_head_size(parsed, this->parser->is_header_done() ? 0 : bytes.size())) {
+        return progress::has_failed;
+    }
     if (!this->parser->is_header_done()) {
         return progress::needs_input;
     }
@@ -117,6 +117,24 @@
     return progress::has_head;
 }
 
+// The parser keeps every complete line, and its own limit applies to the bytes of one call only.
+// The first line and the fields may each be as long as the limit.
+bool request_reader::check_head_size(std::string_view parsed, std::size_t unparsed)
+{
+    this->head_bytes += parsed.size();
+    this->head_lines += static_cast<std::size_t>(std::count(parsed.begin(), parsed.end(), '\n'));
+    if (unparsed > this->limits.max_header_bytes ||
+        this->head_bytes + unparsed > 2 * this->limits.max_header_bytes) {
+        this->fail(http::error::header_limit);
+        return false;
+    }
+    if (this->head_lines > max_fields + 2) {
+        this->fail(http::status::request_header_fields_too_large, "too many fields", "head");
+        return false;
+    }
+    return true;
+}
+
 bool request_reader::read_head_fields()
 {
     const auto& head = this->parser->get();
--- a/lib/net/request_reader.h
+++ b/lib/net/request_reader.h
@@ -72,6 +72,9 @@
     progress parse_body(std::string_view& bytes);
     progress fail(const boost::system::error_code& code);
     progress fail(boost::beast::http::status status, std::string detail, std::string reason);
+    /// Fails if the head, as far as it was received, exceeds a limit. `unparsed`: bytes of an
+    /// incomplete line.
+    bool check_head_size(std::string_view parsed, std::size_t unparsed);
     bool read_head_fields();
     [[nodiscard]] std::size_t expected_body_bytes() const;
     void keep_unparsed(std::string_view bytes);
@@ -82,6 +85,8 @@
     std::string unparsed;
     std::size_t unparsed_charge = 0;
     std::size_t head_charge = 0;
+    std::size_t head_bytes = 0; ///< of the complete lines of the current head
+    std::size_t head_lines = 0;
     std::size_t extension_bytes = 0;
     std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)>
         on_chunk_header;
--- a/unittests/net/endless_answer_test.cpp
+++ b/unittests/net/endless_answer_test.cpp
@@ -289,12 +289,15 @@
 
 /// Sends a prefix and then repeats the same bytes until the server closes the connection.
 struct endless_client {
-    endless_client(asio::io_context& context, const network_address& server, std::string prefix,
-                   const std::string& repeated)
-        : socket(context), prefix(std::move(prefix))
+    endless_client(asio::io_context& context, const network_address& server,
+                   const endless_answer& kind)
+        : socket(context),
+          pause_timer(context),
+          prefix(kind.prefix),
+          is_pausing(kind.is_in_small_blocks)
     {
-        while (this->repeated_block.size() < 64 * 1024) {
-            this->repeated_block += repeated;
+        while (this->repeated_block.size() < kind.block_bytes()) {
+            this->repeated_block += kind.repeated;
         }
         this->socket.connect({asio::ip::make_address(server.ip), server.port});
         this->send(this->prefix);
@@ -307,14 +310,27 @@
                               this->sent_bytes += length;
                               this->was_closed = static_cast<bool>(failure);
                               if (!failure) {
-                                  this->send(this->repeated_block);
+                                  this->send_next_block();
                               }
                           });
     }
 
+    void send_next_block()
+    {
+        if (!this->is_pausing) {
+            this->send(this->repeated_block);
+            return;
+        }
+        this->pause_timer.expires_after(std::chrono::milliseconds{1});
+        this->pause_timer.async_wait(
+            [this](boost::system::error_code) { this->send(this->repeated_block); });
+    }
+
     tcp::socket socket;
+    asio::steady_timer pause_timer;
     std::string prefix;
     std::string repeated_block;
+    bool is_pausing;
     std::size_t sent_bytes = 0;
     bool was_closed = false;
 };
@@ -328,6 +344,8 @@
     const std::vector<endless_answer> kinds{
         {"request line", "GET /", "x"},
         {"headers", head, "X-More: 1\r\n"},
+        {"short headers in small blocks", head + "a", ":\r\na", true},
+        {"empty lines in small blocks", "", "\r\n", true},
         {"chunk extension", chunked + "5;x=", "y"},
         {"trailers", chunked + "0\r\n", "X-More: 1\r\n"},
         {"body", chunked, "400\r\n" + std::string(1024, 'b') + "\r\n"},
@@ -340,11 +358,13 @@
         http_server server{context, limits, handler};
         const auto address = server.listen({"127.0.0.1", 0});
         BOOST_REQUIRE(address.has_value());
-        endless_client client{context, address.value(), kind.prefix, kind.repeated};
+        endless_client client{context, address.value(), kind};
         BOOST_TEST_CONTEXT(kind.name)
         {
             BOOST_TEST(run_until(context, [&] { return client.was_closed; }));
-            BOOST_TEST(client.sent_bytes <= max_sent_bytes);
+            // After a refusal, as many bytes as a body may have are discarded.
+            const auto discarded = kind.is_in_small_blocks ? limits.max_body_bytes : 0;
+            BOOST_TEST(client.sent_bytes <= kind.max_bytes() + discarded);
         }
     }
 }
