--- a/include/eelgrassbend/serving/forward_handler.h
+++ b/include/eelgrassbend/serving/forward_handler.h
@@ -56,7 +56,7 @@
     /// any.
     std::optional<forward_refusal> check_request(forwarded_request& request) const;
     /// Whether the request may run only once and may outlast the process.
-    [[nodiscard]] bool may_be_cut(const forwarded_request& request) const;
+    [[nodiscard]] bool may_outlast_process(const forwarded_request& request) const;
     std::optional<forward_refusal> authenticate(forwarded_request& request) const;
     /// Refuses requests with prompt parts that are in quarantine.
     std::optional<forward_refusal> check_quarantine(forwarded_request& request);
--- a/lib/net/request_reader.cpp
+++ b/lib/net/request_reader.cpp
@@ -128,7 +128,9 @@
         this->fail(http::error::header_limit);
         return false;
     }
-    if (this->head_lines > max_fields + 2) {
+    // The request line and the empty line are no fields.
+    constexpr std::size_t other_lines = 2;
+    if (this->head_lines > max_fields + other_lines) {
         this->fail(http::status::request_header_fields_too_large, "too many fields", "head");
         return false;
     }
--- a/lib/serving/forward_end.cpp
+++ b/lib/serving/forward_end.cpp
@@ -58,7 +58,7 @@
     const auto self = this->shared_from_this();
     this->cancel_request(status_gateway_timeout,
                          make_error(errc::unavailable, "await answer",
-                                    this->current_placement.endpoint.value(), "node stops"),
+                                    this->current_placement.endpoint.value(), "node is stopping"),
                          this->services.settings.min_retry_after);
 }
 
--- a/lib/serving/forward_handler.cpp
+++ b/lib/serving/forward_handler.cpp
@@ -115,7 +115,7 @@
     return refused;
 }
 
-bool forward_handler::may_be_cut(const forwarded_request& request) const
+bool forward_handler::may_outlast_process(const forwarded_request& request) const
 {
     return this->stops_at && !request.matched_route->is_repeatable() &&
            deadline_of(request) > *this->stops_at;
@@ -146,7 +146,7 @@
         return refused_with(status_bad_request, errc::invalid_argument, "read request",
                             "no request id");
     }
-    if (this->may_be_cut(request)) {
+    if (this->may_outlast_process(request)) {
         return refused_by_stopping_node();
     }
     request.target = select_service(*request.matched_route, random_unit(this->services.random));
--- a/unittests/gateway/gateway_test.cpp
+++ b/unittests/gateway/gateway_test.cpp
@@ -73,6 +73,7 @@
     }
 }
 
+// A node that reads its own deregistration must not take it for a late write.
 BOOST_AUTO_TEST_CASE(a_node_that_stops_does_not_register_again)
 {
     gateway_fleet fleet{3};
--- a/unittests/net/broken_answer_test.cpp
+++ b/unittests/net/broken_answer_test.cpp
@@ -98,6 +98,7 @@
     }
 }
 
+// On a kept connection the head of the earlier answer must not stand in for the incomplete one.
 BOOST_FIXTURE_TEST_CASE(an_answer_that_ends_within_its_head_on_a_kept_connection_fails,
                         permissive_fixture)
 {
@@ -144,6 +145,7 @@
     }
 }
 
+// The same for the client of the store and the cloud, which repeats a read on a new connection.
 BOOST_AUTO_TEST_CASE(an_answer_of_a_server_that_ends_within_its_head_fails)
 {
     const std::string head = framed_head;
--- a/unittests/net/endless_answer_test.cpp
+++ b/unittests/net/endless_answer_test.cpp
@@ -147,6 +147,15 @@
     std::optional<error> failure;
 };
 
+endpoint_request make_request()
+{
+    endpoint_request request;
+    request.attempt = attempt_id{"a"};
+    request.method = "GET";
+    request.target = "/";
+    return request;
+}
+
 std::vector<endless_answer> all_endless_answers()
 {
     const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n";
@@ -160,7 +169,7 @@
         {"chunk extension", chunked + "5;x=", "y"},
         {"trailers", chunked + "0\r\n", "X-More: 1\r\n"},
         {"body without end", chunked, "400\r\n" + std::string(1024, 'b') + "\r\n"},
-        // The parser's own limit applies to the input of one call: it kept such lines without end.
+        // The limit of the parser applies to the input of one call only.
         {"headers in small blocks", head, "X-More: 1\r\n", true},
         {"short headers in small blocks", head + "a", ":\r\na", true},
         {"body without length", head + "Connection: close\r\n\r\n", "b"},
@@ -169,6 +178,7 @@
 
 } // namespace
 
+// Answers without end used up the memory of the process.
 BOOST_AUTO_TEST_CASE(an_endless_answer_of_an_endpoint_fails)
 {
     for (const auto& kind : all_endless_answers()) {
@@ -181,10 +191,7 @@
         limits.max_skipped_answers = 4;
         asio_endpoint_client client{context, limits};
         ending_observer observer;
-        endpoint_request request;
-        request.attempt = attempt_id{"a"};
-        request.method = "GET";
-        request.target = "/";
+        const auto request = make_request();
         const auto handle = client.dispatch(server.address(), request, observer);
         BOOST_TEST_CONTEXT(kind.name)
         {
@@ -220,7 +227,7 @@
     }
 }
 
-// The fields of a head take several times the memory of its text.
+// A head within the limit of bytes took several times as much memory once it was parsed.
 BOOST_AUTO_TEST_CASE(an_answer_with_too_many_headers_fails)
 {
     for (const int fields : {100, 1000}) {
@@ -234,10 +241,7 @@
         limits.max_body_bytes = 1024 * 1024;
         asio_endpoint_client client{context, limits};
         ending_observer observer;
-        endpoint_request request;
-        request.attempt = attempt_id{"a"};
-        request.method = "GET";
-        request.target = "/";
+        const auto request = make_request();
         const auto handle = client.dispatch(server.address(), request, observer);
         BOOST_TEST(run_until(context, [&] { return observer.has_ended; }));
         BOOST_TEST(observer.statuses.empty() == (fields > 100));
@@ -265,10 +269,7 @@
     });
     asio_endpoint_client client{context, {}};
     ending_observer observer;
-    endpoint_request request;
-    request.attempt = attempt_id{"a"};
-    request.method = "GET";
-    request.target = "/";
+    const auto request = make_request();
     const network_address address{"127.0.0.1", acceptor.local_endpoint().port()};
     const auto handle = client.dispatch(address, request, observer);
     BOOST_TEST(run_until(context, [&] { return observer.has_ended; }));
@@ -337,6 +338,7 @@
 
 } // namespace
 
+// Heads of short lines were kept in full as long as a caller may send a head.
 BOOST_AUTO_TEST_CASE(an_endless_request_is_cut_off)
 {
     const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
--- a/unittests/placement/endpoint_table_test.cpp
+++ b/unittests/placement/endpoint_table_test.cpp
@@ -89,6 +89,7 @@
     BOOST_TEST(usable(table, now) == 1U);
 }
 
+// A late write after the removal brought back an endpoint that had left.
 BOOST_AUTO_TEST_CASE(an_older_record_written_after_the_removal_is_ignored)
 {
     endpoint_table table{missing_grace};
@@ -101,7 +102,7 @@
     BOOST_TEST(usable(table, now + seconds{6}) == 1U);
 }
 
-// The record of an earlier incarnation would also end what is known of the later one.
+// A late record of the earlier incarnation ended the draining of the later one.
 BOOST_AUTO_TEST_CASE(a_record_of_an_earlier_incarnation_written_late_is_ignored)
 {
     endpoint_table table{missing_grace};
@@ -114,6 +115,7 @@
     BOOST_TEST(usable(table, now) == 0U);
 }
 
+// Without a start or a number, a lower number must not exclude a new incarnation.
 BOOST_AUTO_TEST_CASE(records_without_a_start_or_a_number_are_used_as_they_come)
 {
     endpoint_table table{missing_grace};
--- a/unittests/serving/forward_handler_test.cpp
+++ b/unittests/serving/forward_handler_test.cpp
@@ -112,6 +112,7 @@
     BOOST_TEST(this->handler.active_requests() == 0U);
 }
 
+// A request that was never sent must be refused as not run, so that its caller can repeat it.
 BOOST_FIXTURE_TEST_CASE(a_request_that_waits_for_an_endpoint_at_the_end_of_a_stop_has_not_run,
                         forward_fixture)
 {
--- a/unittests/store/keyed_follower_test.cpp
+++ b/unittests/store/keyed_follower_test.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <utility>
 
 namespace eelgrassbend {
@@ -63,6 +64,14 @@
         this->logs.write(this->topic, key, std::move(value));
     }
 
+    std::unique_ptr<keyed_follower> make_follower(topic_relay& relay, follower_settings settings,
+                                                  keyed_observer& received)
+    {
+        return std::make_unique<keyed_follower>(this->store, this->time, this->random, this->log,
+                                                this->counters, relay, this->topic, settings,
+                                                received);
+    }
+
     virtual_scheduler time;
     seeded_random random{7};
     fake_event_log log;
@@ -210,9 +219,8 @@
     follower_settings settings;
     settings.pause = seconds{5};
     recording_observer received;
-    keyed_follower slow{this->store,        this->time,  this->random, this->log, this->counters,
-                        this->direct_reads, this->topic, settings,     received};
-    slow.start();
+    const auto slow = this->make_follower(this->direct_reads, settings, received);
+    slow->start();
     this->time.run_for(milliseconds{5});
     for (int number = 0; number < 10; ++number) {
         this->write("key-" + std::to_string(number), "1");
@@ -313,12 +321,11 @@
     follower_settings settings;
     settings.gap_timeout = milliseconds{300};
     recording_observer received;
-    keyed_follower third{this->store,          this->time,  this->random, this->log, this->counters,
-                         this->receiver_relay, this->topic, settings,     received};
-    third.start();
+    const auto third = this->make_follower(this->receiver_relay, settings, received);
+    third->start();
     this->time.run_for(seconds{3});
     for (const auto& position : std::exchange(this->reader_relay.published, {})) {
-        third.handle_position(position, this->time.now() - position.age);
+        third->handle_position(position, this->time.now() - position.age);
     }
     this->time.run_for(milliseconds{100});
     for (int index = 0; index < 5; ++index) {
@@ -328,7 +335,7 @@
     const int before = this->store.calls;
     const auto published = std::exchange(this->reader_relay.published, {});
     for (auto position = published.rbegin(); position != published.rend(); ++position) {
-        third.handle_position(*position, this->time.now());
+        third->handle_position(*position, this->time.now());
     }
     BOOST_TEST(received.values["a"] == "4");
     BOOST_TEST(this->store.calls == before);
@@ -340,9 +347,8 @@
     follower_settings settings;
     settings.gap_timeout = milliseconds{300};
     recording_observer received;
-    keyed_follower third{this->store,          this->time,  this->random, this->log, this->counters,
-                         this->receiver_relay, this->topic, settings,     received};
-    third.start();
+    const auto third = this->make_follower(this->receiver_relay, settings, received);
+    third->start();
     this->time.run_for(milliseconds{50});
     const auto start = this->time.now();
     log_offset end{0};
@@ -353,10 +359,10 @@
         }
         end = log_offset{from.value() + 4};
         const auto now = this->time.now();
-        third.handle_position({this->topic.name, from, from + log_offset{2}, {}, false, false, {}},
-                              now);
-        third.handle_position({this->topic.name, from + log_offset{3}, end, {}, false, true, {}},
-                              now);
+        third->handle_position({this->topic.name, from, from + log_offset{2}, {}, false, false, {}},
+                               now);
+        third->handle_position({this->topic.name, from + log_offset{3}, end, {}, false, true, {}},
+                               now);
         this->time.run_for(milliseconds{100});
     }
     BOOST_TEST((this->time.now() - start < seconds{1}));
