store: read a log anew that ends before the position of its reader

Cause: a read from an offset beyond the end is answered with 410. It was taken for the answer to expired records only: the first retained offset is below the position, so the page counted as an empty one that reaches the end, and each such read confirmed the old configuration.

Change: a page states whether its offset was out of range. A follower whose position the log does not have, or that ends before it, lists the newest records again. Records that a restored store lost are written again by their writers, so removals count as losses in a gap, and nothing is confirmed for the time that this takes.

Ruled out: the stale record itself is not the cause, since versions only rise.

--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -43,15 +43,19 @@
     /// by the node that read the record. The record may have expired only because its writer could
     /// not renew it.
     virtual void on_record_removed(const std::string& key, bool after_gap) = 0;
+
+
     /// Everything that was written before `as_of` has been reported.
     virtual void on_caught_up(monotonic_time as_of) = 0;
 };
 
 /// Follows a keyed topic: first the newest record of each key, then the log from there on. Starts
-/// over with the newest records when the log does not reach back far enough. If another node reads
-/// the log on behalf of this one, this node reads the log only when nothing was confirmed for
-/// `relay_timeout` or when a gap in the positions persists (see `gap_timeout`). While a page of the
-/// newest records after the first cannot be read, the log is followed without confirmations.
+/// over with the newest records when the log does not reach back far enough, or was restored from
+/// an older copy; after that, nothing is confirmed until lost records have been written again. If
+/// another node reads the log on behalf of this one, this node reads the log only when nothing was
+/// confirmed for `relay_timeout` or when a gap in the positions persists (see `gap_timeout`). While
+/// a page of the newest records after the first cannot be read, the log is followed without
+/// confirmations.
 class keyed_follower {
 public:
     keyed_follower(record_store& store, scheduler& time, random_source& random, event_log& log,
@@ -93,6 +97,10 @@
     void finish_newest();
     void read_log();
     void handle_log_page(monotonic_time requested_at, const result<store_page>& page);
+    /// The log does not have the next offset any more, or not yet again.
+    void handle_lost_position(const store_page& page);
+    /// The store was restored from an older copy.
+    void handle_restored();
     void read_or_wait();
     void apply_position(const topic_position& position, std::optional<monotonic_time> as_of);
     void read_if_behind();
@@ -137,6 +145,8 @@
     std::optional<log_offset> next_offset;  ///< of the next read; nothing: newest records first
     std::optional<monotonic_time> confirmed_as_of;
     monotonic_time snapshot_requested_at;
+    std::optional<monotonic_time> restarted_at; ///< start of the last listing
+    std::optional<monotonic_time> restored_at;  ///< when this node noticed a restored store
     /// First success after a failed call; see `is_after_gap`.
     std::optional<monotonic_time> recovered_at;
     duration next_retry{};
--- a/include/eelgrassbend/store/record_store.h
+++ b/include/eelgrassbend/store/record_store.h
@@ -28,8 +28,10 @@
 };
 
 /// Consecutive records from an offset, possibly not all. Empty if that offset lies before
-/// `first_retained`: the records there have expired.
+/// `first_retained`, so that the records there have expired, or beyond `end`: a log that was
+/// restored from an older copy ends before offsets that it had given out.
 struct store_page {
+    bool is_out_of_range = false; ///< the log does not have the offset that was requested
     log_offset first_retained;
     log_offset end;  ///< of the log
     log_offset next; ///< where the next read continues; before `end` if the page is partial
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -11,6 +11,9 @@
 /// recovery: two heartbeats of an endpoint, rounded up.
 static constexpr std::chrono::milliseconds record_rewrite_time{2000};
 
+/// Least time between two listings of the newest records because a position was lost.
+static constexpr std::chrono::milliseconds min_restart_interval{500};
+
 /// Out-of-order positions that are buffered before this node reads itself.
 static constexpr std::size_t max_early_positions = 32;
 /// Interval at which a node that relies on the relay checks whether it has to read itself.
@@ -54,6 +57,7 @@
         this->time.cancel(*std::exchange(this->page_timer, std::nullopt));
     }
     ++this->listing;
+    this->restarted_at = this->time.now();
     this->is_listing = true;
     this->next_offset.reset();
     this->snapshot_end.reset();
@@ -182,12 +186,9 @@
         this->handle_failure(page.error());
         return;
     }
-    if (page.value().first_retained > *this->next_offset) {
-        this->log.write(log_level::info, "topic_reread",
-                        {{"topic", this->topic.name},
-                         {"next", this->next_offset->value()},
-                         {"first_retained", page.value().first_retained.value()}});
-        this->restart();
+    if (page.value().is_out_of_range || page.value().first_retained > *this->next_offset ||
+        page.value().end < *this->next_offset) {
+        this->handle_lost_position(page.value());
         return;
     }
     this->behind_since.reset();
@@ -219,6 +220,38 @@
     this->schedule(this->settings.pause, &keyed_follower::read_or_wait);
 }
 
+// Records that the store still has are read anew. If the log ends before this node's position, it
+// was restored from an older copy.
+void keyed_follower::handle_lost_position(const store_page& page)
+{
+    const bool has_expired = page.first_retained > *this->next_offset;
+    this->log.write(has_expired ? log_level::info : log_level::warning, "topic_reread",
+                    {{"topic", this->topic.name},
+                     {"next", this->next_offset->value()},
+                     {"first_retained", page.first_retained.value()},
+                     {"end", page.end.value()},
+                     {"expired", has_expired}});
+    if (!has_expired) {
+        this->handle_restored();
+    }
+    this->next_offset.reset();
+    const auto since_restart = this->time.now() - this->restarted_at.value_or(monotonic_time{});
+    if (this->restarted_at && since_restart < min_restart_interval) {
+        this->schedule(min_restart_interval - since_restart, &keyed_follower::restart);
+        return;
+    }
+    this->restart();
+}
+
+// What other writers wrote and the store lost is written again soon, so a missing record may
+// reappear, and the newest one may be yet to come.
+void keyed_follower::handle_restored()
+{
+    this->counters.count("eelgrassbend_store_restorations_total", {{"topic", this->topic.name}}, 1);
+    this->restored_at = this->time.now();
+    this->recovered_at = this->restored_at;
+}
+
 // The records that follow have been written already, so neither the pause nor the relay delays the
 // read. A page without progress is a fault of the store.
 void keyed_follower::read_rest(bool has_advanced)
@@ -321,8 +354,7 @@
     }
     this->relay_confirmed_at = this->time.now();
     if (!this->confirmed_as_of || *as_of > *this->confirmed_as_of) {
-        this->confirmed_as_of = as_of;
-        this->observer.on_caught_up(*as_of);
+        this->confirm(*as_of);
     }
 }
 
@@ -366,9 +398,13 @@
 }
 
 // A read that reaches the end includes everything written before the call was sent, but not
-// necessarily later records.
+// necessarily later records, nor those that a restored store lost and that are yet to be written
+// again.
 void keyed_follower::confirm(monotonic_time as_of)
 {
+    if (this->restored_at && as_of < *this->restored_at + record_rewrite_time) {
+        return;
+    }
     this->confirmed_as_of = std::max(as_of, this->confirmed_as_of.value_or(as_of));
     this->observer.on_caught_up(*this->confirmed_as_of);
 }
--- a/unittests/fakes/fake_record_store.h
+++ b/unittests/fakes/fake_record_store.h
@@ -50,6 +50,21 @@
         log.first_retained = log.records.size();
     }
 
+    /// The store comes back from a copy that lacks the last `lost` records of a topic.
+    void restore(const std::string& topic, std::size_t lost)
+    {
+        auto& log = this->topics[topic];
+        const auto kept = log.records.size() - std::min(lost, log.records.size());
+        const std::vector<store_record> records{
+            log.records.begin(), log.records.begin() + static_cast<std::ptrdiff_t>(kept)};
+        log.records.clear();
+        log.newest.clear();
+        log.first_retained = 0;
+        for (const auto& record : records) {
+            this->write({topic, true}, record.key, record.value);
+        }
+    }
+
     std::map<std::string, topic_log> topics;
 };
 
@@ -138,6 +153,7 @@
     std::size_t page_size = 500;
     std::optional<std::string> undecodable_key; ///< of records that reads of the log leave out
     std::uint64_t log_page_size = 1'000'000;    ///< records of a read of the log
+    bool refuses_positions = false;             ///< no read of the log is in range
     int calls = 0;
 
 private:
@@ -164,7 +180,9 @@
         store_page page;
         page.first_retained = log_offset{log.first_retained};
         page.end = log_offset{log.records.size()};
-        if (from.value() < log.first_retained) {
+        page.is_out_of_range =
+            this->refuses_positions || from.value() < log.first_retained || from > page.end;
+        if (page.is_out_of_range) {
             handler(page);
             return;
         }
--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -66,7 +66,7 @@
                                        "dump%204%26x%3D%25%2F%3F%23%0D%0A%C3%A9~-_.");
 }
 
-BOOST_AUTO_TEST_CASE(a_read_of_expired_records_returns_the_first_retained_offset)
+BOOST_AUTO_TEST_CASE(a_read_from_an_offset_out_of_range_returns_the_first_retained_offset)
 {
     scripted_http_client http;
     store_client store{http, {"10.0.0.9", 80}, seconds{1}};
@@ -74,6 +74,7 @@
     std::optional<result<store_page>> outcome;
     store.read({"work", false}, log_offset{3}, {},
                [&](result<store_page> page) { outcome = std::move(page); });
+    BOOST_TEST(outcome->value().is_out_of_range);
     BOOST_TEST((outcome->value().first_retained == log_offset{40}));
     BOOST_TEST(outcome->value().records.empty());
 }
