gateway: check endpoints before their first use

Cause: a record alone decided that an endpoint may get work. The store may execute a write seconds late, so a record that comes back, or that a new process finds, can be older than the endpoint's notice that it leaves. Numbers order the records only for a process that has seen the newer one.

Ruled out: reading the log's history instead of the newest records. It is 300 s of the records of all endpoints, and may be deleted at any time. Waiting for a second record: several writes may be late, and a silent endpoint sends none.

Change: an incarnation is used once its health path has answered without a notice that it leaves: when its record is new to this process, returns after its removal, moves to another address, or follows `draining`. An endpoint whose record was lost in an outage of the store stays usable for the grace period while it is checked. A request that finds only endpoints that are being checked waits within its objective.

--- a/include/eelgrassbend/endpoints/endpoint_client.h
+++ b/include/eelgrassbend/endpoints/endpoint_client.h
@@ -19,7 +19,7 @@
 
 /// A request that is sent to an endpoint as one attempt.
 struct endpoint_request {
-    attempt_id attempt;
+    attempt_id attempt; ///< empty: a call without an id, which needs a new connection
     std::string method;
     std::string target;
     header_list headers;
--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -49,6 +49,10 @@
     monotonic_time received_at;
     std::optional<monotonic_time> missing_since; ///< its record is gone, possibly briefly
     std::optional<monotonic_time> paused_until;  ///< it requested no work from this node until then
+    /// Whether an answer has shown that it accepts work since this node found its record, or since
+    /// the record was missing or may have been.
+    bool is_checked = true;
+    std::optional<monotonic_time> usable_until; ///< without a check
 };
 
 /// An incarnation of an endpoint.
@@ -63,12 +67,15 @@
 /// report with their answers. An endpoint whose record is lost in a store outage stays usable for a
 /// grace period, since a live endpoint writes its record again. An incarnation that has reported
 /// that it drains stays draining even if its record says otherwise. A record that is older than one
-/// received before is ignored, as the store may execute a write late.
+/// received before is ignored, as the store may execute a write late. For the same reason a record
+/// alone does not make an endpoint usable: a table with a handler for checks waits for the result.
 class endpoint_table {
 public:
     /// Receives the record of an endpoint that changed state or incarnation, or was removed. An
     /// endpoint whose address changes is first reported as gone with its previous record.
     using change_handler = std::function<void(const endpoint_record&, bool is_gone)>;
+    /// Receives the record of an endpoint that is not used until `mark_checked`.
+    using check_handler = std::function<void(const endpoint_record&)>;
 
     /// `missing_grace`: how long an endpoint stays usable after its record is lost in a store
     /// outage.
@@ -81,8 +88,8 @@
     void remove(const endpoint_id& id, monotonic_time now, bool after_gap);
     /// The endpoint reported in an answer to this node that it drains.
     void mark_draining_from_answer(const endpoint_id& id, monotonic_time now);
-    /// Another node reported that this incarnation drains.
-    void mark_draining_from_peer(const endpoint_incarnation& draining, monotonic_time now);
+    /// An answer of this incarnation has shown that it accepts work.
+    void mark_checked(const endpoint_incarnation& checked);
     /// The endpoint requested no new work from this node before `until`.
     void pause_work(const endpoint_id& id, monotonic_time until, monotonic_time now);
     /// Incarnations that recently reported to this node that they drain.
@@ -92,10 +99,15 @@
 
     void on_change(change_handler handler) { this->handle_change = std::move(handler); }
 
+    /// Without a handler, all endpoints count as checked.
+    void on_unchecked(check_handler handler) { this->handle_unchecked = std::move(handler); }
+
     [[nodiscard]] const known_endpoint* find(const endpoint_id& id) const;
     /// Endpoints of a service that accept new requests.
     [[nodiscard]] std::vector<const known_endpoint*> usable(const service_id& service,
                                                             monotonic_time now) const;
+    /// Whether an endpoint of the service may become usable by a check.
+    [[nodiscard]] bool awaits_check(const service_id& service) const;
 
     [[nodiscard]] const std::map<endpoint_id, known_endpoint>& all() const
     {
@@ -122,6 +134,7 @@
     };
 
     [[nodiscard]] bool is_outdated(const endpoint_record& written) const;
+    void require_check(known_endpoint& entry, std::optional<monotonic_time> usable_until);
     void erase(const endpoint_id& id);
     reported_state& reported_state_of(const known_endpoint& endpoint, monotonic_time now);
     void mark_draining(const endpoint_id& id, bool is_from_answer, monotonic_time now);
@@ -131,6 +144,7 @@
     std::map<endpoint_id, reported_state> reported_states;
     std::map<endpoint_id, record_version> newest_versions;
     change_handler handle_change;
+    check_handler handle_unchecked;
 };
 
 } // namespace eelgrassbend
--- a/include/eelgrassbend/placement/placer.h
+++ b/include/eelgrassbend/placement/placer.h
@@ -47,7 +47,11 @@
 };
 
 /// Why no endpoint can take a request now.
-enum class placement_failure { no_endpoint, all_full };
+enum class placement_failure {
+    no_endpoint,
+    all_full,
+    unchecked, ///< the only endpoints are being checked
+};
 
 /// A placement or the reason why there is none.
 struct placement_answer {
--- a/include/eelgrassbend/routes/routing_configuration.h
+++ b/include/eelgrassbend/routes/routing_configuration.h
@@ -96,6 +96,7 @@
     int max_connections = 0; ///< to one endpoint from all callers; 0: unbounded
     std::optional<engine_traits> engine;
     std::optional<scaling_limits> scaling;
+    std::string health_path; ///< of its endpoints; empty if there is none
 };
 
 /// Limits on the size and duration of a caller's request. Zero: unbounded.
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -119,6 +119,8 @@
     void log_admission_refusal(const char* cause, const return_offer& offer) const;
     /// Time for which the request may wait for an endpoint with capacity.
     [[nodiscard]] duration max_capacity_wait() const;
+    /// Longest wait for an endpoint, by the reason why there is none now.
+    [[nodiscard]] duration max_placement_wait(placement_failure failure) const;
     [[nodiscard]] std::optional<engine_traits> engine() const;
     /// Maximum wait behind other prompts at the chosen engine.
     [[nodiscard]] std::optional<duration> max_prompt_wait() const;
--- a/include/eelgrassbend/serving/forward_protocol.h
+++ b/include/eelgrassbend/serving/forward_protocol.h
@@ -41,6 +41,7 @@
 struct forward_answer_fields {
     int status = 0;
     request_id id;                   ///< empty if the endpoint did not echo it
+    endpoint_id endpoint;            ///< that answered; empty if the answer does not name it
     bool is_not_run = false;         ///< the endpoint reports that it did not run the request
     bool is_signed = false;          ///< carries the endpoint's signature of the answer
     bool is_leaving = false;         ///< the endpoint will stop soon
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "eelgrassbend/gateway/gateway.h"
 
+#include "eelgrassbend/gateway/endpoint_checker.h"
 #include "eelgrassbend/placement/placer.h"
 #include "eelgrassbend/placement/prompt_cache.h"
 #include "eelgrassbend/quarantine/crash_detector.h"
@@ -138,6 +139,7 @@
     gateway_settings settings;
     forward_settings forward;
     endpoint_table endpoints;
+    endpoint_checker checks;
     load_model loads;
     prompt_cache cache;
     engine_cost_estimator costs;
@@ -177,6 +179,9 @@
       settings(node_settings),
       forward(make_forward_settings(node_settings)),
       endpoints(missing_endpoint_timeout(node_settings)),
+      checks({dependencies.client, dependencies.protocol, endpoints, dependencies.time,
+              dependencies.random, dependencies.log, dependencies.counters},
+             {}),
       cache(default_engine_memory),
       places(endpoints, loads, cache, costs, dependencies.random, node_settings.zone),
       quotas(node_settings.bounds.quota_window + quota_window_margin),
@@ -271,6 +276,7 @@
 void gateway::impl::apply_table(std::shared_ptr<const route_table> table)
 {
     this->front.set_route_table(table);
+    this->checks.set_table(table);
     this->scaling.set_table(table);
     this->slot_scaling.set_table(table);
     if (this->on_table_change) {
@@ -362,6 +368,8 @@
     this->state->endpoints.on_change([this](const endpoint_record& record, bool is_gone) {
         this->state->handle_endpoint_change(record, is_gone);
     });
+    this->state->endpoints.on_unchecked(
+        [this](const endpoint_record& record) { this->state->checks.request_check(record); });
 }
 
 gateway::~gateway() = default;
--- a/lib/net/asio_endpoint_client.cpp
+++ b/lib/net/asio_endpoint_client.cpp
@@ -162,7 +162,9 @@
         }
         this->message->insert(name, value);
     }
-    this->message->set(this->pool->limits.attempt_header, this->request.attempt.value());
+    if (!this->request.attempt.value().empty()) {
+        this->message->set(this->pool->limits.attempt_header, this->request.attempt.value());
+    }
     const auto body = this->request.body.view();
     this->message->body() = {body.data(), body.size()};
     this->message->prepare_payload();
--- a/lib/placement/endpoint_table.cpp
+++ b/lib/placement/endpoint_table.cpp
@@ -58,18 +58,48 @@
     const bool is_new = entry.record.id != record.id ||
                         entry.record.is_draining != record.is_draining ||
                         entry.record.started != record.started;
+    const bool is_moved = entry.record.address != record.address;
     const auto previous = std::exchange(entry.record, record);
     entry.received_at = now;
-    entry.missing_since.reset();
+    const auto missing_since = std::exchange(entry.missing_since, std::nullopt);
     if (!previous.id.value().empty() && previous.address != record.address && this->handle_change) {
         this->handle_change(previous, true);
     }
     if (is_new && this->handle_change) {
         this->handle_change(record, false);
     }
+    if (is_new || is_moved) {
+        this->require_check(entry, std::nullopt);
+    }
+    else if (missing_since && entry.is_checked) {
+        this->require_check(entry, *missing_since + this->missing_grace);
+    }
     return true;
 }
 
+// The handler may mark the endpoint as checked at once.
+void endpoint_table::require_check(known_endpoint& entry,
+                                   std::optional<monotonic_time> usable_until)
+{
+    if (!this->handle_unchecked) {
+        return;
+    }
+    entry.is_checked = false;
+    entry.usable_until = usable_until;
+    if (!entry.record.is_draining) {
+        this->handle_unchecked(endpoint_record{entry.record});
+    }
+}
+
+void endpoint_table::mark_checked(const endpoint_incarnation& checked)
+{
+    const auto found = this->endpoints.find(checked.endpoint);
+    if (found != this->endpoints.end() && found->second.record.started == checked.started) {
+        found->second.is_checked = true;
+        found->second.usable_until.reset();
+    }
+}
+
 void endpoint_table::remove(const endpoint_id& id, monotonic_time now, bool after_gap)
 {
     const auto found = this->endpoints.find(id);
@@ -196,11 +226,23 @@
     for (const auto& [id, entry] : this->endpoints) {
         const bool is_missing =
             entry.missing_since && now - *entry.missing_since >= this->missing_grace;
-        if (entry.record.service == service && !entry.record.is_draining && !is_missing) {
+        const bool is_trusted =
+            entry.is_checked || (entry.usable_until && now < *entry.usable_until);
+        if (entry.record.service == service && !entry.record.is_draining && !is_missing &&
+            is_trusted) {
             usable.push_back(&entry);
         }
     }
     return usable;
 }
 
+bool endpoint_table::awaits_check(const service_id& service) const
+{
+    return std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& each) {
+        const known_endpoint& entry = each.second;
+        return entry.record.service == service && !entry.record.is_draining &&
+               !entry.missing_since && !entry.is_checked;
+    });
+}
+
 } // namespace eelgrassbend
--- a/lib/placement/placer.cpp
+++ b/lib/placement/placer.cpp
@@ -265,6 +265,9 @@
         answer.reason = placement_failure::all_full;
         answer.wait = std::chrono::duration_cast<duration>(*state.min_wait);
     }
+    else if (this->endpoints.awaits_check(request.service)) {
+        answer.reason = placement_failure::unchecked;
+    }
     return answer;
 }
 
--- a/lib/serving/forward_admission.cpp
+++ b/lib/serving/forward_admission.cpp
@@ -3,6 +3,8 @@
 #include "eelgrassbend/metrics/metrics.h"
 #include "eelgrassbend/serving/forward_flow.h"
 
+#include "forward_status.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -54,6 +56,60 @@
         .max_wait;
 }
 
+static const char* describe(placement_failure failure)
+{
+    switch (failure) {
+    case placement_failure::all_full:
+        return "all endpoints are full";
+    case placement_failure::unchecked:
+        return "endpoints are being checked";
+    case placement_failure::no_endpoint:
+        break;
+    }
+    return "no endpoint accepts requests";
+}
+
+// A check takes milliseconds, so its result is worth the wait as long as the caller is not late.
+duration forward_flow::max_placement_wait(placement_failure failure) const
+{
+    switch (failure) {
+    case placement_failure::all_full:
+        return this->max_capacity_wait();
+    case placement_failure::unchecked:
+        return this->request.matched_route->objective;
+    case placement_failure::no_endpoint:
+        break;
+    }
+    return duration::zero();
+}
+
+// A request that is refused early can be retried by its caller within its objective. A stream that
+// has started can only be resumed or lost, so it keeps waiting.
+void forward_flow::wait_for_capacity(const placement_answer& found)
+{
+    const auto now = this->services.time.now();
+    if (!this->waiting_since) {
+        this->waiting_since = now;
+    }
+    const bool may_have_capacity_soon =
+        now - *this->waiting_since + this->services.settings.placement_retry_interval <
+        this->max_placement_wait(found.reason);
+    if (this->is_stream_started || may_have_capacity_soon) {
+        this->excluded.clear();
+        this->run_after(this->services.settings.placement_retry_interval,
+                        &forward_flow::placement_timer, &forward_flow::choose_endpoint);
+        return;
+    }
+    const bool is_full = found.reason == placement_failure::all_full;
+    const auto reason = make_error(errc::unavailable, "place request", this->request.target.value(),
+                                   describe(found.reason));
+    if (this->runs.may_have_run()) {
+        this->give_up(status_bad_gateway, reason);
+        return;
+    }
+    this->refuse_for_capacity(is_full ? "all_full" : "no_endpoint", reason, found.wait);
+}
+
 // An attempt that has run already is not subject to the check: its answer is delivered even if it
 // is late.
 bool forward_flow::is_too_late(const placement_answer& found) const
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -181,35 +181,6 @@
                                          query.output_tokens, learned);
 }
 
-// A request that is refused early can be retried by its caller within its objective. A stream that
-// has started can only be resumed or lost, so it keeps waiting.
-void forward_flow::wait_for_capacity(const placement_answer& found)
-{
-    const auto now = this->services.time.now();
-    if (!this->waiting_since) {
-        this->waiting_since = now;
-    }
-    const bool may_have_capacity_soon =
-        found.reason == placement_failure::all_full &&
-        now - *this->waiting_since + this->services.settings.placement_retry_interval <
-            this->max_capacity_wait();
-    if (this->is_stream_started || may_have_capacity_soon) {
-        this->excluded.clear();
-        this->run_after(this->services.settings.placement_retry_interval,
-                        &forward_flow::placement_timer, &forward_flow::choose_endpoint);
-        return;
-    }
-    const bool is_full = found.reason == placement_failure::all_full;
-    const auto reason =
-        make_error(errc::unavailable, "place request", this->request.target.value(),
-                   is_full ? "all endpoints are full" : "no endpoint accepts requests");
-    if (this->runs.may_have_run()) {
-        this->give_up(status_bad_gateway, reason);
-        return;
-    }
-    this->refuse_for_capacity(is_full ? "all_full" : "no_endpoint", reason, found.wait);
-}
-
 void forward_flow::dispatch(const placement& chosen)
 {
     const auto* known = this->services.endpoints.find(chosen.endpoint);
--- a/unittests/gateway/gateway_fleet.h
+++ b/unittests/gateway/gateway_fleet.h
@@ -101,7 +101,9 @@
             R"({"version":)" + std::to_string(version) +
                 R"(,"routes":[{"name":"r","host":"f.example","pathPrefix":"/a/",)"
                 R"("kind":"non_idempotent","timeoutMs":5000,"goalMs":100,"service":"desk",)"
-                R"("maxAttempts":1}],"services":[{"name":"desk"},{"name":"llm","scale":{"min":1,)"
+                R"("maxAttempts":1}],"services":[{"name":"desk","healthPath":")" +
+                this->health_path +
+                R"("},{"name":"llm","scale":{"min":1,)"
                 R"("max":6,"bootS":4,"spotPrice":0.2,"zonePrices":{"a":1}}}],)"
                 R"("tenants":[{"name":"lodge","apiKeys":[")" +
                 key + R"("],"unit":"token_count","plainTokens":10,"ratePerS":100,"burst":1000}]})");
@@ -115,6 +117,7 @@
                              R"(","zone":"a","slots":1000,"state":")" + state + R"(","seq":1})");
     }
 
+    std::string health_path; ///< of the endpoints; empty: they are not checked
     virtual_scheduler time;
     seeded_random random{11};
     fakes::fake_store_logs logs;
--- a/unittests/net/asio_endpoint_client_test.cpp
+++ b/unittests/net/asio_endpoint_client_test.cpp
@@ -262,6 +262,22 @@
     BOOST_TEST(observer.status == 503);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_call_without_an_id_sends_no_id, permissive_fixture)
+{
+    this->limits.allows_missing_attempt_id = true;
+    std::string received;
+    scripted_server server{this->context, [&](const std::string& request) {
+                               received = request;
+                               return std::string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+                           }};
+    auto call = this->request("");
+    call.needs_new_connection = true;
+    recording_observer observer;
+    this->run_permissive(server.address(), call, observer);
+    BOOST_TEST(observer.is_complete);
+    BOOST_TEST((received.find("X-Attempt-Id") == std::string::npos));
+}
+
 static const std::string refusal_without_id = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
 
 // An earlier refusal that was written once more was taken for the answer to the next request.
--- a/unittests/placement/endpoint_table_test.cpp
+++ b/unittests/placement/endpoint_table_test.cpp
@@ -144,6 +144,61 @@
     BOOST_TEST(usable(table, now + missing_grace) == 1U);
 }
 
+/// A table whose endpoints have to be checked.
+struct checked_table {
+    checked_table()
+    {
+        this->table.on_unchecked(
+            [this](const endpoint_record& record) { this->requested.push_back(record.id); });
+    }
+
+    endpoint_table table{missing_grace};
+    std::vector<endpoint_id> requested;
+    monotonic_time now{seconds{10}};
+};
+
+// The last record of an endpoint that had left was written late, and it got requests again.
+BOOST_FIXTURE_TEST_CASE(a_record_that_returns_after_its_removal_needs_a_check, checked_table)
+{
+    this->table.put(numbered_record(17, 1), this->now);
+    BOOST_TEST(usable(this->table, this->now) == 0U);
+    BOOST_TEST(this->table.awaits_check(service_id{"draft"}));
+    this->table.mark_checked({endpoint_id{"a"}, 17});
+    BOOST_TEST(usable(this->table, this->now) == 1U);
+    this->table.put(numbered_record(17, 2), this->now);
+    BOOST_TEST(this->requested.size() == 1U);
+    this->table.remove(endpoint_id{"a"}, this->now, false);
+    this->table.put(numbered_record(17, 3), this->now);
+    BOOST_TEST(usable(this->table, this->now) == 0U);
+    BOOST_TEST(this->requested.size() == 2U);
+}
+
+// The result of a check of the former incarnation says nothing about the next one.
+BOOST_FIXTURE_TEST_CASE(each_incarnation_needs_a_check_of_its_own, checked_table)
+{
+    this->table.put(numbered_record(17, 1), this->now);
+    this->table.put(numbered_record(18, 1), this->now);
+    this->table.mark_checked({endpoint_id{"a"}, 17});
+    BOOST_TEST(usable(this->table, this->now) == 0U);
+    this->table.mark_checked({endpoint_id{"a"}, 18});
+    BOOST_TEST(usable(this->table, this->now) == 1U);
+}
+
+// Records expire in outages of the store; all endpoints would otherwise be unusable for a moment
+// when they return.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_missing_in_an_outage_stays_usable_for_the_grace, checked_table)
+{
+    this->table.put(numbered_record(17, 1), this->now);
+    this->table.mark_checked({endpoint_id{"a"}, 17});
+    this->table.remove(endpoint_id{"a"}, this->now, true);
+    this->table.put(numbered_record(17, 2), this->now + milliseconds{500});
+    BOOST_TEST(this->requested.size() == 2U);
+    BOOST_TEST(usable(this->table, this->now + milliseconds{1100}) == 1U);
+    BOOST_TEST(usable(this->table, this->now + missing_grace) == 0U);
+    this->table.mark_checked({endpoint_id{"a"}, 17});
+    BOOST_TEST(usable(this->table, this->now + seconds{60}) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(each_change_of_state_or_incarnation_is_reported_once)
 {
     endpoint_table table{missing_grace};
--- a/unittests/placement/placer_test.cpp
+++ b/unittests/placement/placer_test.cpp
@@ -251,6 +251,20 @@
     BOOST_TEST((this->place(urgent).predicted < milliseconds{350}));
 }
 
+// A request that finds only endpoints that are being checked must not be refused for good.
+BOOST_FIXTURE_TEST_CASE(endpoints_that_are_being_checked_are_distinguished_from_none,
+                        placer_fixture)
+{
+    const auto before = this->placer_under_test.choose(this->prompt(500), this->engine, this->now);
+    BOOST_TEST((before.reason == placement_failure::no_endpoint));
+    this->endpoints.on_unchecked([](const endpoint_record&) {});
+    this->add("e1");
+    const auto unchecked =
+        this->placer_under_test.choose(this->prompt(500), this->engine, this->now);
+    BOOST_TEST(!unchecked.chosen);
+    BOOST_TEST((unchecked.reason == placement_failure::unchecked));
+}
+
 // Guards against predictions with the constants where the engines are known to be faster, and
 // against a change of the placement for services that their memory limits.
 BOOST_FIXTURE_TEST_CASE(learned_costs_are_used_for_slot_bound_services_only, placer_fixture)
--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -178,7 +178,9 @@
                                              {"X-Eelgrassbend-Response-Seal", "3e1b"},
                                              {"X-Eelgrassbend-Load-Report", "3,1,8,150"},
                                              {"Transfer-Encoding", "chunked"},
+                                             {"X-Eelgrassbend-Instance-Id", "i-1"},
                                              {"Content-Type", "text/event-stream"}});
+    BOOST_TEST(answer.endpoint.value() == "i-1");
     BOOST_TEST(answer.is_signed);
     BOOST_TEST(!answer.is_not_run);
     BOOST_TEST(answer.id.value() == "r-1");
--- a/unittests/platform_adapter/codec_test.cpp
+++ b/unittests/platform_adapter/codec_test.cpp
@@ -110,6 +110,7 @@
     BOOST_TEST((decoded.services[0].engine->memory == token_count{563'819}));
     BOOST_TEST(decoded.services[0].scaling->max_per_zone == 6);
     BOOST_TEST(!decoded.services[1].engine.has_value());
+    BOOST_TEST(decoded.services[1].health_path == "/healthz");
     BOOST_REQUIRE(decoded.organisations.size() == 1U);
     BOOST_TEST(decoded.organisations[0].counts_tokens);
     BOOST_TEST(decoded.organisations[0].keys.size() == 2U);
