gateway: check endpoints again after missed records

A node that cannot read the store while its history is deleted lists the newest records when it returns. The notice that an endpoint drains may be among what it missed, and the newest record may be an older one, written late: the endpoint was known and ready before, so it stayed in use.

The follower now tells its observer that records may have been missed, and all endpoints are checked again. They stay usable for the grace period meanwhile, so a sound fleet loses no capacity.

Looked at for the same cause: a node that reads the log in order after it was paused or cut off sees all records, so their numbers order them. Configurations are ordered by version.

--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -90,6 +90,11 @@
     void mark_draining_from_answer(const endpoint_id& id, monotonic_time now);
     /// An answer of this incarnation has shown that it accepts work.
     void mark_checked(const endpoint_incarnation& checked);
+    /// Records may have been missed: all endpoints are checked again, and stay usable meanwhile for
+    /// the grace period.
+    void check_all(monotonic_time now);
+    /// Another node reported that this incarnation drains.
+    void mark_draining_from_peer(const endpoint_incarnation& draining, monotonic_time now);
     /// The endpoint requested no new work from this node before `until`.
     void pause_work(const endpoint_id& id, monotonic_time until, monotonic_time now);
     /// Incarnations that recently reported to this node that they drain.
--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -44,6 +44,8 @@
     /// not renew it.
     virtual void on_record_removed(const std::string& key, bool after_gap) = 0;
 
+    /// Records may have been missed; the newest ones are reported next.
+    virtual void on_records_missed() {}
 
     /// Everything that was written before `as_of` has been reported.
     virtual void on_caught_up(monotonic_time as_of) = 0;
--- a/lib/gateway/declaration_observers.cpp
+++ b/lib/gateway/declaration_observers.cpp
@@ -93,6 +93,12 @@
     this->endpoints.remove(endpoint_id{key}, this->time.now(), after_gap);
 }
 
+// A record that was missed may have been the notice that an endpoint leaves.
+void endpoint_observer::on_records_missed()
+{
+    this->endpoints.check_all(this->time.now());
+}
+
 void endpoint_observer::on_caught_up(monotonic_time /*as_of*/)
 {
     this->endpoints.expire(this->time.now());
--- a/lib/gateway/declaration_observers.h
+++ b/lib/gateway/declaration_observers.h
@@ -53,6 +53,7 @@
 
     bool on_record_written(const std::string& key, const std::string& value) override;
     void on_record_removed(const std::string& key, bool after_gap) override;
+    void on_records_missed() override;
     void on_caught_up(monotonic_time as_of) override;
 
 private:
--- a/lib/placement/endpoint_table.cpp
+++ b/lib/placement/endpoint_table.cpp
@@ -100,6 +100,15 @@
     }
 }
 
+void endpoint_table::check_all(monotonic_time now)
+{
+    for (auto& [id, entry] : this->endpoints) {
+        if (entry.is_checked) {
+            this->require_check(entry, now + this->missing_grace);
+        }
+    }
+}
+
 void endpoint_table::remove(const endpoint_id& id, monotonic_time now, bool after_gap)
 {
     const auto found = this->endpoints.find(id);
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -235,6 +235,7 @@
         this->handle_restored();
     }
     this->next_offset.reset();
+    this->observer.on_records_missed();
     const auto since_restart = this->time.now() - this->restarted_at.value_or(monotonic_time{});
     if (this->restarted_at && since_restart < min_restart_interval) {
         this->schedule(min_restart_interval - since_restart, &keyed_follower::restart);
--- a/unittests/gateway/late_records_test.cpp
+++ b/unittests/gateway/late_records_test.cpp
@@ -118,6 +118,29 @@
     BOOST_TEST(this->count_forwarded_orders() == 0);
 }
 
+// A node that has to list the records anew may have missed that an endpoint drains.
+BOOST_FIXTURE_TEST_CASE(a_node_that_missed_records_sends_no_orders_by_a_late_one,
+                        late_records_fixture)
+{
+    this->write(1, "ready");
+    this->fleet.time.run_for(seconds{1});
+    this->answer_checks(200, accepting);
+    for (const auto& node : this->fleet.nodes) {
+        node->store.is_down = true;
+    }
+    this->fleet.time.run_for(milliseconds{500});
+    this->write(3, "draining");
+    this->write(2, "ready");
+    this->fleet.logs.forget_history("servers");
+    for (const auto& node : this->fleet.nodes) {
+        node->store.is_down = false;
+    }
+    BOOST_TEST(this->answer_checks_for(seconds{2}, 503, leaving) == 2);
+    BOOST_TEST(this->count_forwarded_orders() == 0);
+    this->fleet.time.run_for(seconds{3});
+    BOOST_TEST(this->count_forwarded_orders() == 0);
+}
+
 // An order that arrives while the only endpoint is being checked waits for the result.
 BOOST_FIXTURE_TEST_CASE(an_order_waits_for_the_check_of_a_returning_endpoint, late_records_fixture)
 {
--- a/unittests/placement/endpoint_table_test.cpp
+++ b/unittests/placement/endpoint_table_test.cpp
@@ -199,6 +199,18 @@
     BOOST_TEST(usable(this->table, this->now + seconds{60}) == 1U);
 }
 
+// The notice that an endpoint leaves may be among the records that were missed.
+BOOST_FIXTURE_TEST_CASE(all_endpoints_are_checked_again_after_missed_records, checked_table)
+{
+    this->table.put(numbered_record(17, 1), this->now);
+    this->table.mark_checked({endpoint_id{"a"}, 17});
+    this->table.check_all(this->now);
+    this->table.put(numbered_record(17, 2), this->now);
+    BOOST_TEST(this->requested.size() == 2U);
+    BOOST_TEST(usable(this->table, this->now + milliseconds{1100}) == 1U);
+    BOOST_TEST(usable(this->table, this->now + missing_grace) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(each_change_of_state_or_incarnation_is_reported_once)
 {
     endpoint_table table{missing_grace};
--- a/unittests/store/follower_fixture.h
+++ b/unittests/store/follower_fixture.h
@@ -34,11 +34,14 @@
         ++this->removals;
     }
 
+    void on_records_missed() override { ++this->gaps; }
+
     void on_caught_up(monotonic_time /*as_of*/) override { ++this->confirmations; }
 
     std::map<std::string, std::string> values;
     std::vector<std::string> received;
     int removals = 0;
+    int gaps = 0;
     int confirmations = 0;
     bool removed_after_gap = false;
 };
--- a/unittests/store/restored_store_test.cpp
+++ b/unittests/store/restored_store_test.cpp
@@ -56,6 +56,23 @@
     BOOST_TEST(this->observer.removed_after_gap);
 }
 
+// Among the records that a node did not see may be the notice that an endpoint leaves.
+BOOST_FIXTURE_TEST_CASE(an_observer_is_told_that_records_may_have_been_missed, follower_fixture)
+{
+    this->write("a", "1");
+    this->follower.start();
+    this->time.run_for(milliseconds{50});
+    BOOST_TEST(this->observer.gaps == 0);
+    this->store.is_down = true;
+    this->time.run_for(seconds{3});
+    this->write("a", "2");
+    this->logs.forget_history(this->topic.name);
+    this->store.is_down = false;
+    this->time.run_for(seconds{3});
+    BOOST_TEST(this->observer.values["a"] == "2");
+    BOOST_TEST(this->observer.gaps == 1);
+}
+
 // The same position may be refused again and again by a faulty store.
 BOOST_FIXTURE_TEST_CASE(a_store_that_refuses_each_position_is_not_asked_without_a_pause,
                         follower_fixture)
