store: read everything anew in a new era of the store

Cause: offsets were compared across eras. The same holds for positions that another node relays: a node in the former era joined them to its own position and skipped the records between.

Change: the era that the store states in all its answers is part of each page and of each relayed position. A page of a newer era makes the follower list the newest records again; one of an earlier era is an error of that answer alone. A relayed position of a newer era makes the node read the store at once, since only the store proves an era; one of an earlier era is ignored. Reads of before the restart are ignored by the number of the listing.

--- a/include/eelgrassbend/platform/http_client.h
+++ b/include/eelgrassbend/platform/http_client.h
@@ -28,6 +28,7 @@
 struct http_answer {
     int status = 0;
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
 };
 
 /// Sends small requests and gets whole answers. Errors: `unavailable` if the request was surely
--- a/include/eelgrassbend/store/keyed_follower.h
+++ b/include/eelgrassbend/store/keyed_follower.h
@@ -93,6 +93,9 @@
 
     void read_newest(const std::string& after);
     void retry_newest_page();
+    void stop_reading();
+    /// Longest wait of the next read at the store.
+    [[nodiscard]] duration next_wait();
     void handle_page_failure(const error& reason);
     void follow_without_page();
     void handle_newest_page(monotonic_time requested_at, const result<newest_page>& page);
@@ -101,11 +104,15 @@
     void handle_log_page(monotonic_time requested_at, const result<store_page>& page);
     /// The log does not have the next offset any more, or not yet again.
     void handle_lost_position(const store_page& page);
-    /// The store was restored from an older copy.
+    /// An answer shows that the store was restored from an older copy.
+    void begin_era(store_era begun);
     void handle_restored();
+    /// Another node relays positions of another era.
+    void handle_other_era(store_era relayed);
     void read_or_wait();
     void apply_position(const topic_position& position, std::optional<monotonic_time> as_of);
     void read_if_behind();
+    void read_now();
     [[nodiscard]] bool is_behind() const;
     /// Continues after a partial page; `has_advanced`: the page had records.
     void read_rest(bool has_advanced);
@@ -141,8 +148,9 @@
     /// While the newest records are read: offset of the newest record of each key so far.
     std::map<std::string, log_offset> listed;
     bool is_listing = false;
-    std::uint64_t listing = 0;              ///< number of the newest listing
-    std::string page_start_key;             ///< key before the page that is being read
+    std::uint64_t listing = 0;    ///< number of the newest listing
+    std::optional<store_era> era; ///< of all offsets here; nothing before the first answer
+    std::string page_start_key;   ///< key before the page that is being read
     std::optional<log_offset> snapshot_end; ///< end of the log at the first page
     std::optional<log_offset> next_offset;  ///< of the next read; nothing: newest records first
     std::optional<monotonic_time> confirmed_as_of;
--- a/include/eelgrassbend/store/record_store.h
+++ b/include/eelgrassbend/store/record_store.h
@@ -13,6 +13,10 @@
 
 namespace eelgrassbend {
 
+/// Rises each time that the store is restored from an older copy, which loses its newest records:
+/// offsets of different eras do not compare. Zero if the store does not state it.
+using store_era = strong_number<struct store_era_tag, std::uint64_t>;
+
 /// A log of the store with one partition. A keyed topic retains the newest record of each key.
 struct store_topic {
     std::string name;
@@ -36,6 +40,7 @@
     log_offset end;  ///< of the log
     log_offset next; ///< where the next read continues; before `end` if the page is partial
     std::vector<store_record> records;
+    store_era era;
 };
 
 /// A page of the newest records of a keyed topic, in order of their keys.
@@ -44,6 +49,7 @@
     bool has_more = false;
     log_offset end;
     std::size_t skipped_records = 0; ///< without a key or an offset
+    store_era era;
 };
 
 /// The outcome of an append that the store answered.
--- a/include/eelgrassbend/store/topic_relay.h
+++ b/include/eelgrassbend/store/topic_relay.h
@@ -21,6 +21,7 @@
     bool after_gap = false;
     bool is_end = false;               ///< last position of a read that reached the end of the log
     std::vector<store_record> changes; ///< in [from, to); records that changed nothing are left out
+    store_era era;                     ///< of the offsets
 
     friend bool operator==(const topic_position&, const topic_position&) = default;
 };
--- a/lib/fleet/node_digest.cpp
+++ b/lib/fleet/node_digest.cpp
@@ -236,6 +236,7 @@
             std::chrono::duration_cast<std::chrono::microseconds>(position.age).count()));
         entry.setAfterGap(position.after_gap);
         entry.setIsEnd(position.is_end);
+        entry.setEra(position.era.value());
         auto changes = entry.initChanges(list_size(position.changes));
         unsigned place = 0;
         for (const auto& record : position.changes) {
@@ -258,6 +259,7 @@
     position.age = std::chrono::microseconds{in.getAgeMicros()};
     position.after_gap = in.getAfterGap();
     position.is_end = in.getIsEnd();
+    position.era = store_era{in.getEra()};
     for (const auto change : in.getChanges()) {
         store_record record{log_offset{change.getOffset()}, to_string(change.getKey()), {}};
         if (!change.getRemoved()) {
--- a/lib/net/asio_http_client.cpp
+++ b/lib/net/asio_http_client.cpp
@@ -179,13 +179,17 @@
         this->fail_after_sending(failure);
         return;
     }
-    const auto& answer = this->parser->get();
+    auto& message = this->parser->get();
+    http_answer answer{static_cast<int>(message.result_int()), std::move(message.body()), {}};
+    for (const auto& field : message) {
+        answer.headers.emplace_back(field.name_string(), field.value());
+    }
     if (this->parser->keep_alive() && this->connection->buffer.size() == 0) {
         this->connection->stream.expires_never();
         this->pool->connections->release(this->call.peer, std::move(this->connection),
                                          idle_timeout);
     }
-    this->done(http_answer{static_cast<int>(answer.result_int()), answer.body()});
+    this->done(std::move(answer));
 }
 
 // A pooled connection that the peer closed, or whose state a middlebox dropped, fails on its first
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -19,6 +19,11 @@
 /// Interval at which a node that relies on the relay checks whether it has to read itself.
 static constexpr std::chrono::milliseconds relay_check_interval{200};
 
+static error earlier_era()
+{
+    return make_error(errc::stale, "read records", "store", "answer is of an earlier era");
+}
+
 keyed_follower::keyed_follower(record_store& store, scheduler& time, random_source& random,
                                event_log& log, metrics& counters, topic_relay& relay,
                                store_topic topic, follower_settings settings,
@@ -53,19 +58,27 @@
 
 void keyed_follower::restart()
 {
-    if (this->page_timer) {
-        this->time.cancel(*std::exchange(this->page_timer, std::nullopt));
-    }
-    ++this->listing;
+    this->stop_reading();
     this->restarted_at = this->time.now();
     this->is_listing = true;
-    this->next_offset.reset();
     this->snapshot_end.reset();
     this->listed.clear();
     this->snapshot_requested_at = this->time.now();
     this->read_newest({});
 }
 
+// Answers to reads of before are ignored.
+void keyed_follower::stop_reading()
+{
+    for (auto* each : {&this->timer, &this->page_timer}) {
+        if (*each) {
+            this->time.cancel(*std::exchange(*each, std::nullopt));
+        }
+    }
+    ++this->listing;
+    this->next_offset.reset();
+}
+
 void keyed_follower::read_newest(const std::string& after)
 {
     const auto requested_at = this->time.now();
@@ -95,6 +108,17 @@
         this->handle_page_failure(page.error());
         return;
     }
+    if (!this->era) {
+        this->era = page.value().era;
+    }
+    if (page.value().era < *this->era) {
+        this->handle_page_failure(earlier_era());
+        return;
+    }
+    if (page.value().era > *this->era) {
+        this->begin_era(page.value().era);
+        return;
+    }
     this->next_page_retry = this->settings.retry_pause;
     if (!this->snapshot_end) {
         this->snapshot_end = page.value().end;
@@ -172,20 +196,47 @@
 void keyed_follower::read_log()
 {
     const auto requested_at = this->time.now();
-    const auto wait =
-        std::exchange(this->skip_next_wait, false) ? duration{} : this->settings.max_wait;
-    this->store.read(this->topic, *this->next_offset, wait,
-                     this->scope.guard([this, requested_at](const result<store_page>& page) {
-                         this->handle_log_page(requested_at, page);
+    this->store.read(this->topic, *this->next_offset, this->next_wait(),
+                     this->scope.guard([this, requested_at,
+                                        started = this->listing](const result<store_page>& page) {
+                         if (started == this->listing) {
+                             this->handle_log_page(requested_at, page);
+                         }
                      }));
 }
 
+// After the store was restored, the first read that may confirm begins as soon as it can.
+duration keyed_follower::next_wait()
+{
+    if (std::exchange(this->skip_next_wait, false)) {
+        return {};
+    }
+    if (!this->restored_at) {
+        return this->settings.max_wait;
+    }
+    const auto confirms_at = *this->restored_at + record_rewrite_time;
+    const auto now = this->time.now();
+    if (now < confirms_at) {
+        return std::min<duration>(this->settings.max_wait, confirms_at - now);
+    }
+    const bool is_confirmed = this->confirmed_as_of && *this->confirmed_as_of >= confirms_at;
+    return is_confirmed ? this->settings.max_wait : duration{};
+}
+
 void keyed_follower::handle_log_page(monotonic_time requested_at, const result<store_page>& page)
 {
     if (!page) {
         this->handle_failure(page.error());
         return;
     }
+    if (page.value().era < *this->era) {
+        this->handle_failure(earlier_era());
+        return;
+    }
+    if (page.value().era > *this->era) {
+        this->begin_era(page.value().era);
+        return;
+    }
     if (page.value().is_out_of_range || page.value().first_retained > *this->next_offset ||
         page.value().end < *this->next_offset) {
         this->handle_lost_position(page.value());
@@ -234,7 +285,7 @@
     if (!has_expired) {
         this->handle_restored();
     }
-    this->next_offset.reset();
+    this->stop_reading();
     this->observer.on_records_missed();
     const auto since_restart = this->time.now() - this->restarted_at.value_or(monotonic_time{});
     if (this->restarted_at && since_restart < min_restart_interval) {
@@ -244,6 +295,20 @@
     this->restart();
 }
 
+// The offsets of before were given out again, so a position in the log means nothing any more.
+void keyed_follower::begin_era(store_era begun)
+{
+    this->log.write(log_level::warning, "store_restored",
+                    {{"topic", this->topic.name},
+                     {"era", begun.value()},
+                     {"former_era", this->era->value()},
+                     {"next", this->next_offset.value_or(log_offset{}).value()}});
+    this->era = begun;
+    this->handle_restored();
+    this->observer.on_records_missed();
+    this->restart();
+}
+
 // What other writers wrote and the store lost is written again soon, so a missing record may
 // reappear, and the newest one may be yet to come.
 void keyed_follower::handle_restored()
@@ -266,10 +331,15 @@
 
 void keyed_follower::publish_positions(monotonic_time requested_at, bool reaches_end)
 {
-    if (this->relay.is_reader()) {
-        this->relay.publish(
-            this->window.positions(this->topic.name, this->time.now() - requested_at, reaches_end));
+    if (!this->relay.is_reader()) {
+        return;
+    }
+    auto positions =
+        this->window.positions(this->topic.name, this->time.now() - requested_at, reaches_end);
+    for (auto& position : positions) {
+        position.era = *this->era;
     }
+    this->relay.publish(positions);
 }
 
 // Uses the older of both times: a reader cut off from the store still publishes what it has, and a
@@ -301,6 +371,10 @@
     if (!this->next_offset) {
         return; // the newest records are still being read
     }
+    if (position.era != *this->era) {
+        this->handle_other_era(position.era);
+        return;
+    }
     if (position.from > *this->next_offset) {
         this->behind_since = this->behind_since.value_or(this->time.now());
         this->early_positions.insert_or_assign(position.from, early_position{position, as_of});
@@ -320,10 +394,26 @@
     this->read_if_behind();
 }
 
-// Without a timer a call is in flight, and its result is newer.
+// Only an answer of the store proves a new era. A reader that has not noticed it yet is ignored.
+void keyed_follower::handle_other_era(store_era relayed)
+{
+    if (relayed > *this->era) {
+        this->skip_next_wait = true;
+        this->read_now();
+    }
+}
+
 void keyed_follower::read_if_behind()
 {
-    if (!this->is_behind() || !this->timer) {
+    if (this->is_behind()) {
+        this->read_now();
+    }
+}
+
+// Without a timer a call is in flight, and its result is newer.
+void keyed_follower::read_now()
+{
+    if (!this->timer) {
         return;
     }
     this->time.cancel(*std::exchange(this->timer, std::nullopt));
--- a/proto/fleet.capnp
+++ b/proto/fleet.capnp
@@ -40,6 +40,7 @@
   afterGap @4 :Bool;
   changes @5 :List(TopicChange);
   isEnd @6 :Bool;  # else more positions follow
+  era @7 :UInt64;  # of the store, to which the offsets belong
 }
 
 struct LeavingEndpoint {
--- a/unittests/fakes/fake_record_store.h
+++ b/unittests/fakes/fake_record_store.h
@@ -53,6 +53,7 @@
     /// The store comes back from a copy that lacks the last `lost` records of a topic.
     void restore(const std::string& topic, std::size_t lost)
     {
+        ++this->era;
         auto& log = this->topics[topic];
         const auto kept = log.records.size() - std::min(lost, log.records.size());
         const std::vector<store_record> records{
@@ -66,6 +67,8 @@
     }
 
     std::map<std::string, topic_log> topics;
+    std::uint64_t era = 0;
+    bool states_era = false; ///< otherwise all answers seem to belong to the first era
 };
 
 /// One node's client of fake_store_logs. Answers take a while, and can be refused, lost or held
@@ -122,6 +125,7 @@
                 return;
             }
             newest_page page;
+            page.era = this->current_era();
             const auto& log = this->logs.topics[topic.name];
             page.end = log_offset{log.records.size()};
             if (this->unreadable_after == after) {
@@ -157,6 +161,11 @@
     int calls = 0;
 
 private:
+    [[nodiscard]] store_era current_era() const
+    {
+        return store_era{this->logs.states_era ? this->logs.era : 0};
+    }
+
     static error unavailable() { return make_error(errc::unavailable, "call store", "store"); }
 
     void answer_later(std::function<void()> action)
@@ -178,6 +187,7 @@
         }
         auto& log = this->logs.topics[topic.name];
         store_page page;
+        page.era = this->current_era();
         page.first_retained = log_offset{log.first_retained};
         page.end = log_offset{log.records.size()};
         page.is_out_of_range =
--- a/unittests/fleet/node_digest_test.cpp
+++ b/unittests/fleet/node_digest_test.cpp
@@ -34,7 +34,8 @@
          std::chrono::milliseconds{120},
          true,
          true,
-         {{log_offset{4}, "i-1", std::string{"a\0b", 3}}, {log_offset{5}, "i-2", std::nullopt}}}};
+         {{log_offset{4}, "i-1", std::string{"a\0b", 3}}, {log_offset{5}, "i-2", std::nullopt}},
+         store_era{4}}};
     return digest;
 }
 
--- a/unittests/net/asio_http_client_test.cpp
+++ b/unittests/net/asio_http_client_test.cpp
@@ -140,6 +140,14 @@
     BOOST_TEST(this->server.connections() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(an_answer_has_its_headers, client_fixture)
+{
+    const auto answer = this->send("GET").value();
+    BOOST_REQUIRE(answer.headers.size() == 1U);
+    BOOST_TEST(answer.headers[0].first == "Content-Length");
+    BOOST_TEST(answer.headers[0].second == "5");
+}
+
 // An engine that leaves accepts no new connections, but serves those that it has.
 BOOST_FIXTURE_TEST_CASE(a_call_that_prefers_a_new_connection_is_not_lost_without_one,
                         client_fixture)
--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -79,6 +79,35 @@
     BOOST_TEST(outcome->value().records.empty());
 }
 
+BOOST_AUTO_TEST_CASE(the_era_of_the_store_is_read_from_all_answers)
+{
+    scripted_http_client http;
+    store_client store{http, {"10.0.0.9", 80}, seconds{1}};
+    const std::string empty_page(16, '\0');
+    for (const auto& [status, body] : {std::pair{200, empty_page}, std::pair{404, std::string{}},
+                                       std::pair{410, std::string{R"({"firstOffset":0})"}}}) {
+        std::optional<result<store_page>> outcome;
+        const auto read = [&](header_list headers) {
+            http.answer = http_answer{status, body, std::move(headers)};
+            store.read({"servers", true}, {}, {},
+                       [&](result<store_page> page) { outcome = std::move(page); });
+        };
+        read({{"store-era", "7"}});
+        BOOST_TEST((outcome->value().era == store_era{7}));
+        read({});
+        BOOST_TEST((outcome->value().era == store_era{0}));
+        for (const char* text : {"", "x", "-1", "7 ", "99999999999999999999"}) {
+            read({{"Store-Era", text}});
+            BOOST_TEST(!outcome->has_value());
+        }
+    }
+    std::optional<result<newest_page>> newest;
+    http.answer = http_answer{200, R"({"items":[],"endOffset":3})", {{"Store-Era", "2"}}};
+    store.read_newest({"servers", true}, "",
+                      [&](result<newest_page> page) { newest = std::move(page); });
+    BOOST_TEST((newest->value().era == store_era{2}));
+}
+
 BOOST_AUTO_TEST_CASE(duty_calls_carry_holder_and_token)
 {
     scripted_http_client http;
