duties: derive fencing tokens from the era of the store too

Cause: the token was the offset of the lease record. A store that is restored from an older copy gives offsets out again. The node whose record was lost kept its token until its lease ended, and the next holder got the same one. The class: an offset is a position within one era of the store, and was used as an identity across eras. In the same way, a candidate took an end of the log that it had observed before the restoration for that of the new log, and a holder whose expected end the new log had reached renewed its lease there.

Change: the token holds the era in its upper and the offset in its lower 32 bits, so that tokens rise over a restoration. An answer of a later era ends a lease held and begins the observation anew; one of an earlier era is a failed call. An emptied log is claimed at once only by a node that knows no earlier era. A read from an offset that the log does not have goes on at the first one that it has.

Why this works: the store states its era in all its answers and raises it with each restoration, and an offset comes once in an era. A lease of the former era was renewed before the restoration, so it has ended once the new log has been observed for a lease time.

Ruled out: a token taken from the record (it is lost with the record) or from what other nodes report (a node may be cut off from them).

Not covered: a store that is restored and does not state its era.

--- a/include/eelgrassbend/duties/duty_lease.h
+++ b/include/eelgrassbend/duties/duty_lease.h
@@ -34,8 +34,10 @@
 
 /// The exclusive lease for the duties that one node performs for the whole system: to report usage
 /// and to scale services. A log in the store arbitrates: the node that appends at its end holds the
-/// lease, and the offset determines the fencing token. A candidate first observes the end for a
-/// full lease time; a live holder has moved it by then.
+/// lease. A candidate first observes the end for a full lease time; a live holder has moved it by
+/// then. A store that is restored from an older copy gives offsets out again, so the era of the
+/// store and the offset together determine the fencing token, and what was observed in one era
+/// does not count in another.
 class duty_lease {
 public:
     duty_lease(record_store& store, scheduler& time, event_log& log,
@@ -54,10 +56,15 @@
     void tick();
     void read_log_end();
     void on_log_read(const result<store_page>& page);
+    void handle_read_failure(const error& reason);
     void append_record(bool is_renewal);
     void on_append_done(monotonic_time requested_at, bool is_renewal,
                         const result<append_answer>& answer);
+    void handle_append_failure(bool is_renewal, const error& reason);
+    void acquire(const append_answer& answer);
     void release(const char* reason);
+    /// The log is that of a later era of the store than the one that was read before.
+    void begin_era(store_era begun, log_offset log_end);
 
     record_store& store;
     scheduler& time;
@@ -69,6 +76,8 @@
     std::optional<fencing_token> held_token;
     monotonic_time started_at;
     monotonic_time renewed_at;
+    std::optional<store_era> era;                  ///< of `end`; nothing before the first answer
+    bool has_later_era = false;                    ///< `era` is not the first one observed
     log_offset end;                                ///< end of the log at the last read or append
     std::optional<monotonic_time> unchanged_since; ///< time since which `end` is unchanged
     bool is_call_in_flight = false;
--- a/include/eelgrassbend/store/record_store.h
+++ b/include/eelgrassbend/store/record_store.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace eelgrassbend {
@@ -17,6 +18,12 @@
 /// offsets of different eras do not compare. Zero if the store does not state it.
 using store_era = strong_number<struct store_era_tag, std::uint64_t>;
 
+/// An answer of the store that belongs to an earlier era than one received before.
+inline error earlier_era_error(std::string step)
+{
+    return make_error(errc::stale, std::move(step), "store", "answer is of an earlier era");
+}
+
 /// A log of the store with one partition. A keyed topic retains the newest record of each key.
 struct store_topic {
     std::string name;
--- a/include/eelgrassbend/support/ids.h
+++ b/include/eelgrassbend/support/ids.h
@@ -36,7 +36,7 @@
 using record_id = strong_type<struct record_id_tag, std::string>;
 /// Version number that operators give to a bundle; 0 is the empty bundle.
 using bundle_version = strong_number<struct bundle_version_tag, std::uint64_t>;
-/// Offset of the lease record under which an order is given.
+/// Orders the holders of the lease under which an order is given; see `duty_lease`.
 using fencing_token = strong_number<struct fencing_token_tag, std::uint64_t>;
 
 } // namespace eelgrassbend
--- a/lib/duties/duty_lease.cpp
+++ b/lib/duties/duty_lease.cpp
@@ -14,6 +14,19 @@
 /// Delay between the claims of candidates of adjacent ranks.
 static constexpr std::chrono::milliseconds rank_delay{600};
 
+/// Bits of a fencing token that hold the offset; the others hold the era of the store.
+static constexpr unsigned token_offset_bits = 32;
+
+/// Nothing if the era or the offset is too large.
+static std::optional<fencing_token> make_token(store_era era, log_offset offset)
+{
+    const auto number = offset.value() + 1; // offsets start at 0, tokens at 1
+    if (number >> token_offset_bits != 0 || era.value() >> token_offset_bits != 0) {
+        return std::nullopt;
+    }
+    return fencing_token{(era.value() << token_offset_bits) | number};
+}
+
 duty_lease::duty_lease(record_store& store, scheduler& time, event_log& log,
                        const duty_candidates& candidates, duty_lease_settings settings)
     : store(store),
@@ -100,18 +113,30 @@
 {
     const auto now = this->time.now();
     if (!page) {
-        this->log.write(log_level::warning, "lease_read_failed",
-                        {{"error", page.error().to_string()}});
-        this->unchanged_since.reset();
+        this->handle_read_failure(page.error());
+        return;
+    }
+    const auto page_era = page.value().era;
+    if (this->era && page_era < *this->era) {
+        this->handle_read_failure(earlier_era_error("read lease"));
+        return;
+    }
+    if (this->era && page_era > *this->era) {
+        this->begin_era(page_era, page.value().end);
+        if (page.value().is_out_of_range) {
+            this->unchanged_since.reset(); // the end of the log is still unknown
+        }
         return;
     }
-    if (page.value().first_retained > this->end) {
-        this->end = page.value().first_retained; // older records have expired
+    this->era = page_era;
+    if (page.value().first_retained > this->end || page.value().is_out_of_range) {
+        this->end = page.value().first_retained;
         this->unchanged_since.reset();
         return;
     }
     const auto log_end = page.value().end;
-    const bool is_first_claim = log_end == log_offset{} && this->candidates.rank() == 0;
+    const bool is_first_claim =
+        log_end == log_offset{} && this->candidates.rank() == 0 && !this->has_later_era;
     const bool is_unchanged = this->unchanged_since && log_end == this->end;
     this->end = log_end;
     if (is_first_claim || is_unchanged) {
@@ -121,6 +146,30 @@
     this->unchanged_since = now;
 }
 
+void duty_lease::handle_read_failure(const error& reason)
+{
+    this->log.write(log_level::warning, "lease_read_failed", {{"error", reason.to_string()}});
+    this->unchanged_since.reset();
+}
+
+// A lease of the former era was last renewed before the restoration, so it has ended once the log
+// has been observed for a lease time.
+void duty_lease::begin_era(store_era begun, log_offset log_end)
+{
+    this->log.write(log_level::warning, "lease_log_restored",
+                    {{"era", begun.value()},
+                     {"former_era", this->era->value()},
+                     {"end", log_end.value()},
+                     {"former_end", this->end.value()}});
+    if (this->held_token) {
+        this->release("the store was restored from an older copy");
+    }
+    this->era = begun;
+    this->has_later_era = true;
+    this->end = log_end;
+    this->unchanged_since = this->time.now();
+}
+
 // Fails if another node has appended since the last read.
 void duty_lease::append_record(bool is_renewal)
 {
@@ -140,13 +189,16 @@
                                 const result<append_answer>& answer)
 {
     if (!answer) {
-        this->log.write(log_level::warning, "lease_append_failed",
-                        {{"renewal", is_renewal}, {"error", answer.error().to_string()}});
-        const bool is_not_executed =
-            answer.error().code == errc::unavailable || answer.error().code == errc::rate_limited;
-        if (this->held_token && !is_not_executed) {
-            this->release("renewal outcome unknown");
-        }
+        this->handle_append_failure(is_renewal, answer.error());
+        return;
+    }
+    if (answer.value().era < *this->era) {
+        this->handle_append_failure(is_renewal, earlier_era_error("append to lease"));
+        return;
+    }
+    // Where the log ends by chance at the expected offset, the append succeeds all the same.
+    if (answer.value().era > *this->era) {
+        this->begin_era(answer.value().era, answer.value().end);
         return;
     }
     this->end = answer.value().end;
@@ -161,12 +213,32 @@
     if (is_renewal || this->is_resigned) {
         return;
     }
-    // Offsets start at 0, tokens at 1.
-    this->held_token = fencing_token{answer.value().offset.value() + 1};
+    this->acquire(answer.value());
+}
+
+void duty_lease::handle_append_failure(bool is_renewal, const error& reason)
+{
+    this->log.write(log_level::warning, "lease_append_failed",
+                    {{"renewal", is_renewal}, {"error", reason.to_string()}});
+    const bool is_not_executed =
+        reason.code == errc::unavailable || reason.code == errc::rate_limited;
+    if (this->held_token && !is_not_executed) {
+        this->release("renewal outcome unknown");
+    }
+}
+
+void duty_lease::acquire(const append_answer& answer)
+{
+    this->held_token = make_token(answer.era, answer.offset);
+    if (!this->held_token) {
+        this->log.write(log_level::error, "fencing_token_too_large",
+                        {{"era", answer.era.value()}, {"offset", answer.offset.value()}});
+        return;
+    }
     this->log.write(log_level::info, "duty_acquired",
                     {{"token", this->held_token->value()},
-                     {"era", answer.value().era.value()},
-                     {"offset", answer.value().offset.value()}});
+                     {"era", answer.era.value()},
+                     {"offset", answer.offset.value()}});
 }
 
 } // namespace eelgrassbend
--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -19,11 +19,6 @@
 /// Interval at which a node that relies on the relay checks whether it has to read itself.
 static constexpr std::chrono::milliseconds relay_check_interval{200};
 
-static error earlier_era()
-{
-    return make_error(errc::stale, "read records", "store", "answer is of an earlier era");
-}
-
 keyed_follower::keyed_follower(record_store& store, scheduler& time, random_source& random,
                                event_log& log, metrics& counters, topic_relay& relay,
                                store_topic topic, follower_settings settings,
@@ -112,7 +107,7 @@
         this->era = page.value().era;
     }
     if (page.value().era < *this->era) {
-        this->handle_page_failure(earlier_era());
+        this->handle_page_failure(earlier_era_error("read records"));
         return;
     }
     if (page.value().era > *this->era) {
@@ -230,7 +225,7 @@
         return;
     }
     if (page.value().era < *this->era) {
-        this->handle_failure(earlier_era());
+        this->handle_failure(earlier_era_error("read records"));
         return;
     }
     if (page.value().era > *this->era) {
