store: an append answer without an offset has no known outcome

Found while the hypotheses on two holders with one fencing token were told apart; nobody reported it. A missing endOffset was read as an empty log.

Cause: number_field(...).value_or(0.0) on fields that the protocol promises.

Change: an answer that lacks a field which its status calls for is outcome_unknown. Callers treat that as an append that may have taken effect.

Looked for elsewhere in the folder: pages of the newest records require their end already; a read that is out of range requires firstOffset.

--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -38,6 +38,23 @@
     BOOST_TEST((outcome->value().end == log_offset{9}));
 }
 
+BOOST_AUTO_TEST_CASE(an_append_answer_without_an_offset_does_not_count_as_offset_0)
+{
+    scripted_http_client http;
+    store_client store{http, {"10.0.0.9", 80}, seconds{1}};
+    for (const auto& [status, body] :
+         {std::pair{200, "{}"}, std::pair{200, R"({"endOffset":9})"},
+          std::pair{200, R"({"offset":8})"}, std::pair{200, R"({"offset":"8","endOffset":9})"},
+          std::pair{200, R"({"offset":-1,"endOffset":9})"}, std::pair{412, "{}"}}) {
+        http.answer = http_answer{status, body};
+        std::optional<result<append_answer>> outcome;
+        store.append({"lease", false}, {{{}, {}, "x"}}, log_offset{8},
+                     [&](result<append_answer> answer) { outcome = std::move(answer); });
+        BOOST_REQUIRE(!outcome->has_value());
+        BOOST_TEST((outcome->error().code == errc::outcome_unknown));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(store_statuses_map_to_errors)
 {
     scripted_http_client http;
