duties: report no window whose record the store may have lost

The record of a window is what keeps two holders from counting it twice, and a store that is restored from an older copy, or whose history is deleted, loses it. The next holder recorded its own counts and reported them.

Evidence: a_restored_store_leads_to_no_second_count_of_a_window, a_deleted_history_leads_to_no_second_count_of_a_window and a_reporter_goes_on_after_the_store_was_restored failed before.

Change: a window is recorded only if the log would contain its record, had there been one: the window became due after this node began to see all records, or a record of the current era for an earlier window is in the log. Records state the era in which they were written. Records that a node knows are kept over a restoration, and repeated as they were. Other windows are skipped with a warning. A later era, or records that were missed, lead to a new reading.

Why this works: a holder records windows in the order in which they become due, so whoever recorded a window before the store lost it did so before a later holder recorded an earlier one. The tolerance for clocks covers the first one.

Cost: after a restoration or a deletion, the windows that became due before the next holder's first read are not reported, unless that node knows them.

--- a/include/eelgrassbend/duties/usage_reporter.h
+++ b/include/eelgrassbend/duties/usage_reporter.h
@@ -27,7 +27,9 @@
 };
 
 /// Reports the usage of each window once. The sums are first recorded in the store: the first
-/// record of a window is authoritative, and every report of the window repeats it.
+/// record of a window is authoritative, and every report of the window repeats it. A window whose
+/// record the store may have lost, as it was restored from an older copy or its history was
+/// deleted, is not reported: another node may have reported it with other counts.
 class usage_reporter {
 public:
     usage_reporter(record_store& store, scheduler& time, event_log& log, duty_lease& lease,
@@ -39,12 +41,20 @@
     void tick();
     void read_records();
     void on_records_read(const result<store_page>& page);
+    void handle_read_failure(const error& reason);
+    /// Records between what was read and `first_retained` may be missed.
+    void start_over(log_offset first_retained);
+    /// Whether the log contains the record of the window if there ever was one.
+    [[nodiscard]] bool would_be_recorded(usage_window window) const;
     void append_counts(usage_window window);
     void on_append_done(usage_window window, const usage_counts& counts,
                         const result<append_answer>& answer);
     void report(usage_window window);
     void on_report_done(usage_window window, fencing_token token, const result<void>& answer);
     [[nodiscard]] std::optional<usage_window> next_due_window() const;
+    /// Gives up a window that may have been reported by another node.
+    void skip(usage_window window);
+    void mark_finished(usage_window window);
 
     record_store& store;
     scheduler& time;
@@ -58,9 +68,14 @@
     std::optional<fencing_token> records_token; ///< token under which the records were read
     bool has_current_records = false;
     bool is_call_in_flight = false;
-    log_offset end; ///< end of the records read so far
+    std::optional<store_era> era; ///< of `end`; nothing before the first read
+    log_offset end;               ///< end of the records read so far
+    /// Since when nothing that was recorded has been missed, by this node's clock.
+    wall_time complete_since;
+    /// The earliest window with a record of the current era; records of later windows follow it.
+    std::optional<usage_window> first_recorded;
     std::map<usage_window, usage_counts> records;
-    std::set<usage_window> finished_windows; ///< reported by this node
+    std::set<usage_window> finished_windows; ///< reported or skipped by this node
 };
 
 } // namespace eelgrassbend
--- a/lib/duties/usage_reporter.cpp
+++ b/lib/duties/usage_reporter.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace eelgrassbend {
@@ -10,31 +11,50 @@
 /// Windows whose records are kept in memory; the report deadline of older ones has passed.
 static constexpr std::size_t max_windows = 16;
 
-static std::string encode(usage_window window, const usage_counts& counts)
+/// Greatest difference between the wall clocks of two nodes.
+static constexpr std::chrono::seconds clock_tolerance{1};
+
+namespace {
+
+/// A record of the log.
+struct recorded_usage {
+    usage_window window;
+    usage_counts counts;
+    std::optional<store_era> era; ///< in which it was written, if stated
+};
+
+} // namespace
+
+static std::string encode(usage_window window, const usage_counts& counts, store_era era)
 {
     nlohmann::json organisations = nlohmann::json::object();
     for (const auto& [id, requests] : counts) {
         organisations[id.value()] = requests;
     }
-    return nlohmann::json{{"window", window.value()}, {"requests", organisations}}.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return nlohmann::json{
+        {"window", window.value()}, {"requests", organisations}, {"era", era.value()}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-static std::optional<std::pair<usage_window, usage_counts>> decode(const std::string& bytes)
+static std::optional<recorded_usage> decode(const std::string& bytes)
 {
     const auto parsed = nlohmann::json::parse(bytes, nullptr, false);
     if (!parsed.is_object() || !parsed.contains("window") || !parsed.contains("requests") ||
         !parsed["window"].is_number_unsigned() || !parsed["requests"].is_object()) {
         return std::nullopt;
     }
-    usage_counts counts;
+    recorded_usage record;
+    record.window = usage_window{parsed["window"].get<std::uint64_t>()};
     for (const auto& [id, requests] : parsed["requests"].items()) {
         if (!requests.is_number_unsigned()) {
             return std::nullopt;
         }
-        counts[organisation_id{id}] = requests.get<std::uint64_t>();
+        record.counts[organisation_id{id}] = requests.get<std::uint64_t>();
+    }
+    if (parsed.contains("era") && parsed["era"].is_number_unsigned()) {
+        record.era = store_era{parsed["era"].get<std::uint64_t>()};
     }
-    return std::pair{usage_window{parsed["window"].get<std::uint64_t>()}, std::move(counts)};
+    return record;
 }
 
 usage_reporter::usage_reporter(record_store& store, scheduler& time, event_log& log,
@@ -76,9 +96,12 @@
         if (this->records.contains(*window)) {
             this->report(*window);
         }
-        else {
+        else if (this->would_be_recorded(*window)) {
             this->append_counts(*window);
         }
+        else {
+            this->skip(*window);
+        }
     }
 }
 
@@ -114,18 +137,31 @@
 void usage_reporter::on_records_read(const result<store_page>& page)
 {
     if (!page) {
-        // Retried at the next tick.
-        this->log.write(log_level::warning, "usage_read_failed",
-                        {{"error", page.error().to_string()}});
+        this->handle_read_failure(page.error());
         return;
     }
-    if (page.value().first_retained > this->end) {
-        this->end = page.value().first_retained; // expired records are past their deadline
+    if (this->era && page.value().era < *this->era) {
+        this->handle_read_failure(earlier_era_error("read usage"));
+        return;
+    }
+    const auto former_era = std::exchange(this->era, page.value().era);
+    if (former_era != this->era) {
+        this->start_over({});
+        if (former_era) {
+            return; // the page is from a position of the former era
+        }
+    }
+    if (page.value().first_retained > this->end || page.value().is_out_of_range) {
+        this->start_over(page.value().first_retained);
         return;
     }
     for (const auto& record : page.value().records) {
         if (auto entry = decode(record.value.value_or(std::string{}))) {
-            this->records.emplace(entry->first, std::move(entry->second));
+            if (entry->era == this->era) {
+                this->first_recorded =
+                    std::min(this->first_recorded.value_or(entry->window), entry->window);
+            }
+            this->records.emplace(entry->window, std::move(entry->counts));
         }
         else {
             this->log.write(log_level::error, "usage_record_invalid",
@@ -139,12 +175,50 @@
     this->has_current_records = this->end >= page.value().end;
 }
 
+// Retried at the next tick.
+void usage_reporter::handle_read_failure(const error& reason)
+{
+    this->log.write(log_level::warning, "usage_read_failed", {{"error", reason.to_string()}});
+}
+
+// Records that are known are kept, although the log may have lost them: they may have been
+// reported.
+void usage_reporter::start_over(log_offset first_retained)
+{
+    this->end = first_retained;
+    this->complete_since = this->time.wall_now();
+    this->first_recorded.reset();
+}
+
+bool usage_reporter::would_be_recorded(usage_window window) const
+{
+    const auto due_at = this->usage.end_of(window) + this->settings.settle_time;
+    return due_at >= this->complete_since + clock_tolerance ||
+           (this->first_recorded && window > *this->first_recorded);
+}
+
+void usage_reporter::skip(usage_window window)
+{
+    this->log.write(log_level::warning, "usage_window_skipped",
+                    {{"window", window.value()},
+                     {"reason", "its record may be lost, and it may have been reported"}});
+    this->mark_finished(window);
+}
+
+void usage_reporter::mark_finished(usage_window window)
+{
+    this->finished_windows.insert(window);
+    while (this->finished_windows.size() > max_windows) {
+        this->finished_windows.erase(this->finished_windows.begin());
+    }
+}
+
 void usage_reporter::append_counts(usage_window window)
 {
     auto counts = this->usage.total(window);
     this->is_call_in_flight = true;
     this->store.append(
-        this->settings.topic, {{log_offset{}, {}, encode(window, counts)}}, this->end,
+        this->settings.topic, {{log_offset{}, {}, encode(window, counts, *this->era)}}, this->end,
         this->scope.guard([this, window, counts](const result<append_answer>& answer) {
             this->is_call_in_flight = false;
             this->on_append_done(window, counts, answer);
@@ -154,11 +228,12 @@
 void usage_reporter::on_append_done(usage_window window, const usage_counts& counts,
                                     const result<append_answer>& answer)
 {
-    if (!answer || !answer.value().appended) {
+    const bool is_appended = answer && answer.value().appended;
+    if (!is_appended || answer.value().era != *this->era) {
+        const char* cause = is_appended ? "the store was restored" : "another node appended first";
         this->log.write(
             log_level::info, "usage_append_failed",
-            {{"window", window.value()},
-             {"error", answer ? "another node appended first" : answer.error().to_string()}});
+            {{"window", window.value()}, {"error", answer ? cause : answer.error().to_string()}});
         this->has_current_records = false; // the record in the log is authoritative
         return;
     }
@@ -193,10 +268,7 @@
         }
         return;
     }
-    this->finished_windows.insert(window);
-    while (this->finished_windows.size() > max_windows) {
-        this->finished_windows.erase(this->finished_windows.begin());
-    }
+    this->mark_finished(window);
     std::uint64_t requests = 0;
     for (const auto& [id, count] : this->records.at(window)) {
         requests += count;
--- a/unittests/duties/usage_reporter_test.cpp
+++ b/unittests/duties/usage_reporter_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 namespace eelgrassbend {
@@ -30,6 +32,32 @@
 };
 
 struct reporter_fixture {
+    static bool has_report_with(const reporter_node& node, std::uint64_t requests)
+    {
+        const auto& reports = node.calls.reports;
+        return std::any_of(reports.begin(), reports.end(), [&](const auto& report) {
+            const auto found = report.counts.find(lodge);
+            return found != report.counts.end() && found->second == requests;
+        });
+    }
+
+    /// A second node, which has counted nothing, takes over. No window may get two counts, and
+    /// windows that end later are reported.
+    void check_reports_of_next_holder()
+    {
+        reporter_node second{this->logs, this->time, "second"};
+        second.candidates.own_rank = 1;
+        this->time.run_for(seconds{20});
+        std::map<usage_window, usage_counts> reported;
+        for (const auto* calls : {&this->first.calls, &second.calls}) {
+            for (const auto& report : calls->reports) {
+                const auto [found, is_new] = reported.emplace(report.window, report.counts);
+                BOOST_TEST((found->second == report.counts));
+            }
+        }
+        BOOST_TEST(second.calls.reports.size() >= 2U);
+    }
+
     virtual_scheduler time;
     fakes::fake_store_logs logs;
     reporter_node first{this->logs, this->time, "first"};
@@ -99,6 +127,42 @@
     BOOST_TEST(reported.size() == this->first.calls.reports.size());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_restored_store_leads_to_no_second_count_of_a_window, reporter_fixture)
+{
+    this->logs.states_era = true;
+    this->time.run_for(seconds{6});
+    this->first.usage.record_start(lodge, this->time.wall_now());
+    this->time.run_for(milliseconds{6700});
+    BOOST_REQUIRE(this->has_report_with(this->first, 1));
+    this->first.store.is_down = true;
+    this->logs.restore("duty-lease", 100);
+    this->logs.restore("usage", 1);
+    this->check_reports_of_next_holder();
+}
+
+BOOST_FIXTURE_TEST_CASE(a_deleted_history_leads_to_no_second_count_of_a_window, reporter_fixture)
+{
+    this->time.run_for(seconds{6});
+    this->first.usage.record_start(lodge, this->time.wall_now());
+    this->time.run_for(milliseconds{6700});
+    BOOST_REQUIRE(this->has_report_with(this->first, 1));
+    this->first.store.is_down = true;
+    this->logs.forget_history("usage");
+    this->check_reports_of_next_holder();
+}
+
+BOOST_FIXTURE_TEST_CASE(a_reporter_goes_on_after_the_store_was_restored, reporter_fixture)
+{
+    this->logs.states_era = true;
+    this->time.run_for(seconds{14});
+    const auto before = this->first.calls.reports.size();
+    this->logs.restore("duty-lease", 100);
+    this->logs.restore("usage", 100);
+    this->time.run_for(seconds{30});
+    BOOST_TEST(this->first.calls.reports.size() >= before + 4U);
+    BOOST_TEST(this->first.log.count("usage_append_failed") <= 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_refused_token_ends_the_lease, reporter_fixture)
 {
     this->time.run_for(seconds{3});
