duties: do not report usage recorded in a former era of the store

The store may execute an append whose answer was lost seconds later, if its condition still holds. After a restoration it holds again where the log ends as it did then, so that a record of the former era appears in the new one.

Evidence: a_late_append_of_a_former_era_leads_to_no_second_count failed before.

Change: a record counts only in the era in which it was written. Records that a node has read in that era stay known to it.

Cost: a window that was recorded just before a restoration and not reported yet is reported only by a node that knows the record.

--- a/lib/duties/usage_reporter.cpp
+++ b/lib/duties/usage_reporter.cpp
@@ -157,11 +157,13 @@
     }
     for (const auto& record : page.value().records) {
         if (auto entry = decode(record.value.value_or(std::string{}))) {
+            // The store may execute an append of a former era in a later one, where it says nothing
+            // of what was reported.
             if (entry->era == this->era) {
                 this->first_recorded =
                     std::min(this->first_recorded.value_or(entry->window), entry->window);
+                this->records.emplace(entry->window, std::move(entry->counts));
             }
-            this->records.emplace(entry->window, std::move(entry->counts));
         }
         else {
             this->log.write(log_level::error, "usage_record_invalid",
--- a/unittests/duties/usage_reporter_test.cpp
+++ b/unittests/duties/usage_reporter_test.cpp
@@ -163,6 +163,23 @@
     BOOST_TEST(this->first.log.count("usage_append_failed") <= 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_late_append_of_a_former_era_leads_to_no_second_count, reporter_fixture)
+{
+    this->logs.states_era = true;
+    this->time.run_for(seconds{6});
+    this->first.usage.record_start(lodge, this->time.wall_now());
+    this->time.run_for(milliseconds{6700});
+    BOOST_REQUIRE(this->has_report_with(this->first, 1));
+    this->first.store.is_down = true;
+    const auto record = this->logs.topics["usage"].records.back();
+    this->logs.restore("duty-lease", 100);
+    this->logs.restore("usage", 1);
+    auto late = *record.value;
+    late.replace(late.find(R"("lodge":1)"), 9, R"("lodge":3)");
+    this->logs.write({"usage", false}, {}, late);
+    this->check_reports_of_next_holder();
+}
+
 BOOST_FIXTURE_TEST_CASE(a_refused_token_ends_the_lease, reporter_fixture)
 {
     this->time.run_for(seconds{3});
