duties: claim above the tokens that other nodes have reported

Change: the digests name the holder's token already. A claim whose token would not exceed the highest one that was reported, or that this node held itself, appends so many records that it does, at most 1,000.

Why this works, and where it does not: the node that lost the lease sends its token several times a second to those that may follow it. A candidate that is cut off from it, or started later, knows no token; without the era there is no other source. So the era remains the proof, and this narrows the gap.

Evidence: a_claim_exceeds_known_tokens_where_the_store_states_no_era; without the additional records the second and the third holder have tokens of the first.

--- a/include/eelgrassbend/duties/duty_lease.h
+++ b/include/eelgrassbend/duties/duty_lease.h
@@ -30,6 +30,8 @@
     [[nodiscard]] virtual bool has_other_holder() const = 0;
     /// Number of nodes that take precedence over this one.
     [[nodiscard]] virtual std::size_t rank() const = 0;
+    /// The highest fencing token that another node has reported; zero if none has.
+    [[nodiscard]] virtual fencing_token highest_token() const = 0;
 };
 
 /// The exclusive lease for the duties that one node performs for the whole system: to report usage
@@ -37,7 +39,8 @@
 /// lease. A candidate first observes the end for a full lease time; a live holder has moved it by
 /// then. A store that is restored from an older copy gives offsets out again, so the era of the
 /// store and the offset together determine the fencing token, and what was observed in one era
-/// does not count in another.
+/// does not count in another. Where the store does not state its era, a claim exceeds the tokens
+/// that the other nodes have reported.
 class duty_lease {
 public:
     duty_lease(record_store& store, scheduler& time, event_log& log,
@@ -58,6 +61,8 @@
     void on_log_read(const result<store_page>& page);
     void handle_read_failure(const error& reason);
     void append_record(bool is_renewal);
+    /// Number of records that a claim appends, so that its token exceeds all that are known.
+    [[nodiscard]] std::size_t records_of_claim() const;
     void on_append_done(monotonic_time requested_at, bool is_renewal,
                         const result<append_answer>& answer);
     void handle_append_failure(bool is_renewal, const error& reason);
@@ -74,6 +79,7 @@
     callback_scope scope;
     repeating_timer timer;
     std::optional<fencing_token> held_token;
+    fencing_token highest_held; ///< by this node
     monotonic_time started_at;
     monotonic_time renewed_at;
     std::optional<store_era> era;                  ///< of `end`; nothing before the first answer
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -69,6 +69,8 @@
     [[nodiscard]] bool has_other_holder() const override;
     [[nodiscard]] std::size_t rank() const override;
 
+    [[nodiscard]] fencing_token highest_token() const override { return this->highest_duty_token; }
+
     node_digest make_digest() override;
 
     /// Relays the reads of the store by one node to the others.
@@ -130,6 +132,7 @@
     std::uint64_t sequence = 0;
     bool is_registered = false;
     bool is_leaving = false;
+    fencing_token highest_duty_token; ///< that another node has reported
 };
 
 } // namespace eelgrassbend
--- a/lib/duties/duty_lease.cpp
+++ b/lib/duties/duty_lease.cpp
@@ -2,7 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace eelgrassbend {
 
@@ -17,6 +19,9 @@
 /// Bits of a fencing token that hold the offset; the others hold the era of the store.
 static constexpr unsigned token_offset_bits = 32;
 
+/// Most records of one claim; a store restored from an older copy lacks some seconds of renewals.
+static constexpr std::uint64_t max_records_of_claim = 1'000;
+
 /// Nothing if the era or the offset is too large.
 static std::optional<fencing_token> make_token(store_era era, log_offset offset)
 {
@@ -170,13 +175,25 @@
     this->unchanged_since = this->time.now();
 }
 
+std::size_t duty_lease::records_of_claim() const
+{
+    const auto known = std::max(this->highest_held, this->candidates.highest_token());
+    const auto next = make_token(*this->era, this->end);
+    if (!next || known < *next) {
+        return 1;
+    }
+    return std::min<std::uint64_t>((known - *next).value() + 2, max_records_of_claim);
+}
+
 // Fails if another node has appended since the last read.
 void duty_lease::append_record(bool is_renewal)
 {
+    const store_record record{log_offset{}, {}, this->settings.node.value()};
+    std::vector<store_record> records(is_renewal ? 1 : this->records_of_claim(), record);
     this->is_call_in_flight = true;
     const auto requested_at = this->time.now();
     this->store.append(
-        this->settings.topic, {{log_offset{}, {}, this->settings.node.value()}}, this->end,
+        this->settings.topic, std::move(records), this->end,
         this->scope.guard([this, requested_at, is_renewal](const result<append_answer>& answer) {
             this->is_call_in_flight = false;
             this->on_append_done(requested_at, is_renewal, answer);
@@ -229,16 +246,18 @@
 
 void duty_lease::acquire(const append_answer& answer)
 {
-    this->held_token = make_token(answer.era, answer.offset);
+    const auto last = answer.end - log_offset{1}; // of the records of the claim
+    this->held_token = make_token(answer.era, last);
     if (!this->held_token) {
         this->log.write(log_level::error, "fencing_token_too_large",
-                        {{"era", answer.era.value()}, {"offset", answer.offset.value()}});
+                        {{"era", answer.era.value()}, {"offset", last.value()}});
         return;
     }
+    this->highest_held = *this->held_token;
     this->log.write(log_level::info, "duty_acquired",
                     {{"token", this->held_token->value()},
                      {"era", answer.era.value()},
-                     {"offset", answer.offset.value()}});
+                     {"offset", last.value()}});
 }
 
 } // namespace eelgrassbend
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -472,6 +472,8 @@
     }
     const auto now = this->dependencies.time.now();
     const auto& digest = decoded.value();
+    this->highest_duty_token =
+        std::max(this->highest_duty_token, digest.duty_token.value_or(fencing_token{}));
     this->apply_rollouts(digest);
     if (!digest.observations.empty() && !this->models.fleet.is_in_group(digest)) {
         return; // its sender does not represent its group
--- a/unittests/duties/duty_fakes.h
+++ b/unittests/duties/duty_fakes.h
@@ -20,7 +20,10 @@
 
     [[nodiscard]] std::size_t rank() const override { return this->own_rank; }
 
+    [[nodiscard]] fencing_token highest_token() const override { return this->reported_token; }
+
     bool is_other_holder_alive = false;
+    fencing_token reported_token;
     std::size_t own_rank = 0;
 };
 
--- a/unittests/duties/restored_lease_test.cpp
+++ b/unittests/duties/restored_lease_test.cpp
@@ -89,6 +89,26 @@
     BOOST_TEST((*this->first.lease.token() > token));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_claim_exceeds_known_tokens_where_the_store_states_no_era,
+                        restored_lease_fixture)
+{
+    this->logs.states_era = false;
+    this->acquire_by_first();
+    this->observe(seconds{8});
+    this->second.candidates.reported_token = *this->first.lease.token();
+    this->second.candidates.own_rank = 1;
+    this->first.store.is_down = true;
+    this->logs.restore("duty-lease", this->length());
+    this->second.lease.start();
+    this->observe(seconds{8});
+    this->first.store.is_down = false;
+    this->second.store.is_down = true;
+    this->observe(seconds{8});
+    BOOST_TEST(this->holders.size() == 3U);
+    BOOST_TEST(!this->has_shared_token());
+    BOOST_TEST(!this->both_hold);
+}
+
 // The log has reached the former holder's position again when it renews.
 BOOST_FIXTURE_TEST_CASE(a_holder_does_not_renew_in_a_restored_log, restored_lease_fixture)
 {
