--- a/test/resources/own_gateway.py
+++ b/test/resources/own_gateway.py
@@ -20,14 +20,17 @@
     limits = {}
     output = subprocess.DEVNULL
 
+    def store_address(self):
+        return self.fleet.platform.store.address
+
     def start(self):
         values = {
             "node": self.name, "ip": self.ip, "zone": self.zone, "region": "r", "portRange": [7600, 7615],
             "listen": {key: f"{self.ip}:{port}" for key, port in self.ports.items()}, "bounds": fleets.BOUNDS,
-            "platform": {"address": self.fleet.platform.store.address},
+            "platform": {"address": self.store_address()},
             "cloud": {"address": self.fleet.platform.cloud.address}, "limits": self.limits,
         }
-        settings = self.fleet.folder / "settings.toml"
+        settings = self.fleet.folder / f"{self.name}.toml"
         settings.write_text(fleets.render((ROOT / "deploy/settings.toml").read_text(), values))
         self.process = subprocess.Popen([sys.argv[1], f"--settings={settings}"], stdin=subprocess.DEVNULL,
                                         stdout=self.output, stderr=subprocess.DEVNULL)
