store: drop buffered positions of a former era of the log

A node that is told a position beyond a gap keeps it until the gap is closed. The buffer outlived a new era of the store: a position of the former era was applied to the restored log, and the record that was written there since was never read.

Evidence: a_buffered_position_of_a_former_era_is_not_applied failed before.

Change: a new listing of the newest records drops what was buffered.

--- a/lib/store/keyed_follower.cpp
+++ b/lib/store/keyed_follower.cpp
@@ -62,9 +62,11 @@
     this->read_newest({});
 }
 
-// Answers to reads of before are ignored.
+// Answers to reads of before are ignored. What was buffered may be of another era.
 void keyed_follower::stop_reading()
 {
+    this->early_positions.clear();
+    this->behind_since.reset();
     for (auto* each : {&this->timer, &this->page_timer}) {
         if (*each) {
             this->time.cancel(*std::exchange(*each, std::nullopt));
--- a/unittests/store/restored_store_test.cpp
+++ b/unittests/store/restored_store_test.cpp
@@ -207,4 +207,36 @@
     BOOST_TEST(this->store.calls <= 50);
 }
 
+// The offsets of the buffered position were given out again, and what was written there was missed.
+BOOST_FIXTURE_TEST_CASE(a_buffered_position_of_a_former_era_is_not_applied, era_fixture)
+{
+    recording_relay relay;
+    recording_observer received;
+    follower_settings settings;
+    settings.gap_timeout = seconds{60};
+    const auto node = this->make_follower(relay, settings, received);
+    node->start();
+    this->time.run_for(seconds{1});
+    const topic_position buffered{this->topic.name,
+                                  log_offset{11},
+                                  log_offset{12},
+                                  {},
+                                  false,
+                                  true,
+                                  {{log_offset{11}, "b", "former"}},
+                                  store_era{0}};
+    node->handle_position(buffered, this->time.now());
+    this->logs.restore(this->topic.name, 5);
+    for (int number = 0; number < 6; ++number) {
+        this->write("c", std::to_string(number));
+    }
+    this->time.run_for(milliseconds{50});
+    const topic_position next{this->topic.name, log_offset{11}, log_offset{11}, {}, false, true, {},
+                              store_era{1}};
+    node->handle_position(next, this->time.now());
+    this->write("b", "new");
+    this->time.run_for(seconds{1});
+    BOOST_TEST(received.values["b"] == "new");
+}
+
 } // namespace eelgrassbend
