duties: names and three remarks of a review

A usage log that ends before the reporter's position is read anew also within one era, as the follower of keyed topics does; read only, no test. An append that took effect in a later era is not logged as one of another node.

--- a/include/eelgrassbend/duties/duty_lease.h
+++ b/include/eelgrassbend/duties/duty_lease.h
@@ -82,8 +82,8 @@
     fencing_token highest_held; ///< by this node
     monotonic_time started_at;
     monotonic_time renewed_at;
-    std::optional<store_era> era;                  ///< of `end`; nothing before the first answer
-    bool has_later_era = false;                    ///< `era` is not the first one observed
+    std::optional<store_era> era;                  ///< of `end`; nothing before the first read
+    bool knows_earlier_era = false;                ///< `era` is not the first one observed
     log_offset end;                                ///< end of the log at the last read or append
     std::optional<monotonic_time> unchanged_since; ///< time since which `end` is unchanged
     bool is_call_in_flight = false;
--- a/include/eelgrassbend/duties/usage_reporter.h
+++ b/include/eelgrassbend/duties/usage_reporter.h
@@ -42,7 +42,7 @@
     void read_records();
     void on_records_read(const result<store_page>& page);
     void handle_read_failure(const error& reason);
-    /// Records between what was read and `first_retained` may be missed.
+    /// Reads the log anew from there. Records may have been missed; those that are known are kept.
     void start_over(log_offset first_retained);
     /// Whether the log contains the record of the window if there ever was one.
     [[nodiscard]] bool would_be_recorded(usage_window window) const;
--- a/lib/duties/duty_lease.cpp
+++ b/lib/duties/duty_lease.cpp
@@ -141,7 +141,7 @@
     }
     const auto log_end = page.value().end;
     const bool is_first_claim =
-        log_end == log_offset{} && this->candidates.rank() == 0 && !this->has_later_era;
+        log_end == log_offset{} && this->candidates.rank() == 0 && !this->knows_earlier_era;
     const bool is_unchanged = this->unchanged_since && log_end == this->end;
     this->end = log_end;
     if (is_first_claim || is_unchanged) {
@@ -170,7 +170,7 @@
         this->release("the store was restored from an older copy");
     }
     this->era = begun;
-    this->has_later_era = true;
+    this->knows_earlier_era = true;
     this->end = log_end;
     this->unchanged_since = this->time.now();
 }
@@ -251,6 +251,7 @@
     if (!this->held_token) {
         this->log.write(log_level::error, "fencing_token_too_large",
                         {{"era", answer.era.value()}, {"offset", last.value()}});
+        this->unchanged_since.reset();
         return;
     }
     this->highest_held = *this->held_token;
--- a/lib/duties/usage_reporter.cpp
+++ b/lib/duties/usage_reporter.cpp
@@ -151,7 +151,8 @@
             return; // the page is from a position of the former era
         }
     }
-    if (page.value().first_retained > this->end || page.value().is_out_of_range) {
+    const bool is_shorter = page.value().end < this->end;
+    if (page.value().first_retained > this->end || page.value().is_out_of_range || is_shorter) {
         this->start_over(page.value().first_retained);
         return;
     }
@@ -232,7 +233,8 @@
 {
     const bool is_appended = answer && answer.value().appended;
     if (!is_appended || answer.value().era != *this->era) {
-        const char* cause = is_appended ? "the store was restored" : "another node appended first";
+        const char* cause =
+            is_appended ? "appended to a log of a later era" : "another node appended first";
         this->log.write(
             log_level::info, "usage_append_failed",
             {{"window", window.value()}, {"error", answer ? cause : answer.error().to_string()}});
