store: read a log that ends before the offset from its begin

Cause: firstOffset is promised where records were deleted; for a read from an offset that the log does not have yet, only the status is.

Evidence: a_log_that_ends_before_the_offset_is_read_from_its_begin failed before.

--- a/unittests/platform_adapter/client_test.cpp
+++ b/unittests/platform_adapter/client_test.cpp
@@ -96,6 +96,21 @@
     BOOST_TEST(outcome->value().records.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_log_that_ends_before_the_offset_is_read_from_its_begin)
+{
+    scripted_http_client http;
+    store_client store{http, {"10.0.0.9", 80}, seconds{1}};
+    for (const char* body : {"", "{}", R"({"firstOffset":null})"}) {
+        http.answer = http_answer{410, body};
+        std::optional<result<store_page>> outcome;
+        store.read({"work", false}, log_offset{3}, {},
+                   [&](result<store_page> page) { outcome = std::move(page); });
+        BOOST_REQUIRE(outcome->has_value());
+        BOOST_TEST(outcome->value().is_out_of_range);
+        BOOST_TEST((outcome->value().first_retained == log_offset{0}));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_era_of_the_store_is_read_from_all_answers)
 {
     scripted_http_client http;
