serving: keep a stream at the version that began it within its answer

Cause: after an endpoint had failed, the next attempt of a stream was placed at any endpoint of the service, and so was the target of a run that moves with its KV cache. Only roll-outs restricted a choice to versions, and that filter falls back to all endpoints when none fits. A roll-out even moved the runs of the former version to the target on purpose.

Change: a filter can require a version, without a fallback. A stream requires the version of the run whose first event was accepted for the caller, and a run that moves the version of the engine that it leaves, since the KV cache of one version is of no use to another. A run without events may start again at any version. If no endpoint of the version is left that does not drain, the stream is broken off at once in place of waiting for its deadline. Roll-outs do not move runs any more.

--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -111,6 +111,9 @@
     /// Endpoints of a service that accept new requests.
     [[nodiscard]] std::vector<const known_endpoint*> usable(const service_id& service,
                                                             monotonic_time now) const;
+    /// Whether an endpoint of the service runs this version and does not drain.
+    [[nodiscard]] bool has_version(const service_id& service,
+                                   const software_version& version) const;
     /// Whether an endpoint of the service may become usable by a check.
     [[nodiscard]] bool awaits_check(const service_id& service) const;
 
--- a/include/eelgrassbend/placement/version_filter.h
+++ b/include/eelgrassbend/placement/version_filter.h
@@ -11,6 +11,8 @@
 
 /// Restricts a placement to endpoints of some versions. Empty: all endpoints.
 struct version_filter {
+    /// Only endpoints of this version, even if none is left.
+    std::optional<software_version> required;
     /// Only endpoints of this version, if any is left.
     std::optional<software_version> only;
     /// With `only`: the number of its endpoints that are used, the same ones on all nodes; 0: all.
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -129,6 +129,9 @@
     /// Whether the request may be sent to an endpoint as a new run.
     [[nodiscard]] bool may_start_run() const;
     void wait_for_capacity(const placement_answer& found);
+    /// Whether the request must go on at a version that no endpoint offers any more.
+    [[nodiscard]] bool is_version_gone() const;
+    void end_for_missing_version();
     void dispatch(const placement& chosen);
     [[nodiscard]] endpoint_request make_attempt_request(const placement& chosen) const;
     /// Whether a later attempt may send the request again.
@@ -206,7 +209,10 @@
     std::set<endpoint_id> excluded;
     std::set<endpoint_id> attempted; ///< have been sent the request
     placement current_placement;
-    std::int64_t endpoint_started = 0;           ///< incarnation at `current_placement`
+    std::int64_t endpoint_started = 0; ///< incarnation at `current_placement`
+    software_version endpoint_version; ///< of the run at `current_placement`
+    /// Of the run whose events the caller has; only endpoints of this version may go on with it.
+    std::optional<software_version> stream_version;
     std::optional<forward_answer_fields> answer; ///< of the current attempt
     std::string answer_body;
     byte_reservation buffer_reservation; ///< for `answer_body`
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -387,7 +387,7 @@
             [this] { return this->state->endpoint_follower.fresh_as_of(); });
     }
     if (this->state->rollouts) {
-        this->state->rollouts->start(this->state->lease, this->state->front);
+        this->state->rollouts->start(this->state->lease);
     }
 }
 
--- a/lib/gateway/gateway_rollouts.cpp
+++ b/lib/gateway/gateway_rollouts.cpp
@@ -12,9 +12,6 @@
 /// bad version must get no more requests, and several digests.
 static constexpr double grant_timeout_fraction = 0.3;
 static constexpr milliseconds max_grant_timeout{1500};
-/// Added to the time until the other versions' endpoints stop. Runs begin to migrate the migration
-/// margin of `forward_settings` (a second) before; most requests end without it until then.
-static constexpr milliseconds migration_delay{250};
 
 static duration grant_timeout(const rollout_bounds& bounds)
 {
@@ -33,18 +30,15 @@
 {
 }
 
-void gateway_rollouts::start(const duty_lease& lease, forward_handler& front)
+void gateway_rollouts::start(const duty_lease& lease)
 {
-    this->table.on_phase([this, &front](const known_rollout& rollout) {
+    this->table.on_phase([this](const known_rollout& rollout) {
         this->dependencies.log.write(log_level::info, "rollout_granted",
                                      {{"service", rollout.order.service.value()},
                                       {"target", rollout.order.target.value()},
                                       {"phase", phase_name(rollout.grant->phase)},
                                       {"share", rollout.grant->share},
                                       {"step", rollout.grant->step}});
-        if (rollout.grant->phase == rollout_phase::moving) {
-            this->leave_other_versions(rollout, front);
-        }
     });
     if (this->has_duties) {
         this->controller.emplace(
@@ -92,22 +86,6 @@
     return true;
 }
 
-void gateway_rollouts::leave_other_versions(const known_rollout& rollout, forward_handler& front)
-{
-    const auto now = this->dependencies.time.now();
-    const auto left =
-        std::max<duration>(rollout.order.length - (now - rollout.ordered_at), duration{});
-    for (const auto& [id, endpoint] : this->endpoints.all()) {
-        if (endpoint.record.service != rollout.order.service ||
-            endpoint.record.version == rollout.order.target) {
-            continue;
-        }
-        auto leaving = endpoint.record;
-        leaving.reclaim_in = left + migration_delay;
-        front.handle_endpoint_leaving(leaving);
-    }
-}
-
 std::unique_ptr<gateway_rollouts> make_gateway_rollouts(const gateway_dependencies& dependencies,
                                                         const gateway_settings& settings,
                                                         const endpoint_table& endpoints,
--- a/lib/gateway/gateway_rollouts.h
+++ b/lib/gateway/gateway_rollouts.h
@@ -19,7 +19,7 @@
     gateway_rollouts(const gateway_dependencies& dependencies, const gateway_settings& settings,
                      const endpoint_table& endpoints, const load_model& loads);
 
-    void start(const duty_lease& lease, forward_handler& front);
+    void start(const duty_lease& lease);
 
     [[nodiscard]] const rollout_models& models() const { return this->state; }
 
@@ -27,9 +27,6 @@
     bool on_order_removed(const std::string& key, bool after_gap) override;
 
 private:
-    /// Lets runs at the endpoints of other versions migrate before these stop.
-    void leave_other_versions(const known_rollout& rollout, forward_handler& front);
-
     gateway_dependencies dependencies;
     rollout_bounds bounds;
     bool has_duties; ///< competes for the duty lease
--- a/lib/placement/endpoint_table.cpp
+++ b/lib/placement/endpoint_table.cpp
@@ -245,6 +245,14 @@
     return usable;
 }
 
+bool endpoint_table::has_version(const service_id& service, const software_version& version) const
+{
+    return std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& each) {
+        const auto& record = each.second.record;
+        return record.service == service && record.version == version && !record.is_draining;
+    });
+}
+
 bool endpoint_table::awaits_check(const service_id& service) const
 {
     return std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& each) {
--- a/lib/placement/version_filter.cpp
+++ b/lib/placement/version_filter.cpp
@@ -28,6 +28,11 @@
 
 void apply_version_filter(std::vector<const known_endpoint*>& usable, const version_filter& filter)
 {
+    if (filter.required) {
+        std::erase_if(usable, [&](const auto* endpoint) {
+            return endpoint->record.version != *filter.required;
+        });
+    }
     if (filter.only) {
         auto permitted = endpoints_of(usable, filter);
         if (!permitted.empty()) {
--- a/lib/serving/forward_admission.cpp
+++ b/lib/serving/forward_admission.cpp
@@ -87,6 +87,10 @@
 // has started can only be resumed or lost, so it keeps waiting.
 void forward_flow::wait_for_capacity(const placement_answer& found)
 {
+    if (this->is_version_gone()) {
+        this->end_for_missing_version();
+        return;
+    }
     const auto now = this->services.time.now();
     if (!this->waiting_since) {
         this->waiting_since = now;
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -113,6 +113,7 @@
         query.versions = this->services.rollouts->filter(this->request.target, this->wants_target,
                                                          this->services.time.now());
     }
+    query.versions.required = this->stream_version;
     return query;
 }
 
@@ -186,6 +187,9 @@
     const auto* known = this->services.endpoints.find(chosen.endpoint);
     this->current_placement = chosen;
     this->endpoint_started = known != nullptr ? known->record.started : 0;
+    if (known != nullptr && !this->continuation) {
+        this->endpoint_version = known->record.version;
+    }
     this->waiting_since.reset();
     this->answer.reset();
     this->answer_body.clear();
@@ -360,6 +364,7 @@
     if (std::exchange(this->is_stream_started, true)) {
         return;
     }
+    this->stream_version = this->endpoint_version;
     this->request.answer->start(this->stream_head->status, this->stream_head->headers);
     const std::chrono::duration<double> waited{this->services.time.now() -
                                                this->request.received_at};
--- a/lib/serving/forward_migration.cpp
+++ b/lib/serving/forward_migration.cpp
@@ -55,6 +55,7 @@
     }
     auto query = this->make_placement_request();
     query.max_slot_share.reset(); // the run was admitted when it began
+    query.versions.required = this->endpoint_version;
     query.excluded = this->failed_targets;
     query.excluded.insert(this->current_placement.endpoint);
     const auto found =
