streams: record at which software version a stream began

A caller may take a broken stream up at any node, also after all nodes ended at once, and only endpoints of the version that began the stream may go on with it. All that survives is the store and what the caller sends back, and the caller's ids say nothing of versions. So the version is kept in the store by the id of the request.

Cost rules the design: a service with one version writes nothing. Each service has a baseline version that needs no records; streams of other versions are recorded in batches, and their begin waits until the record is acknowledged, for 0.4 s at most. Records are read only when a caller takes a stream up.

Nothing uses the component yet.

--- a/cmake/components.cmake
+++ b/cmake/components.cmake
@@ -49,7 +49,7 @@
 
 # Adds only what the gateway program is made of.
 function(eelgrassbend_add_gateway_components)
-  foreach(component support tokens bundle discovery routes store placement quarantine duties limits admission rollout fleet
+  foreach(component support tokens bundle discovery routes store placement quarantine duties limits admission rollout streams fleet
       gateway serving settings
       kernel logging metrics net)
     add_subdirectory(${PROJECT_SOURCE_DIR}/lib/${component})
