serving: resume a stream only at the version that began it

What callers saw: a stream that broke off, as its node or all nodes were killed, was taken up again and answered 200 to the end, its first part from one software version and the rest from another (ORDER).

Cause: nothing read Resumes, the header that names the request which brought the stream's first event. The take-up was placed like a new request.

Cases of stream_version_test for take-ups and held events need the new interface, so they could not be run before.

Change: a request with a last event on a resumable stream route is placed once the version of the stream that it names is found, and only there. If the version is unknown, or no endpoint that does not drain has it, the request is refused at once as not run. The version of a new run is recorded when the run is dispatched; head and events are held until that is done. What fails meanwhile goes on after the held events, or is answered 502: it has run. The settings take the writes per second of the store, of which the records use a share.

--- a/include/eelgrassbend/gateway/group_exchange.h
+++ b/include/eelgrassbend/gateway/group_exchange.h
@@ -15,6 +15,7 @@
 class part_quarantine;
 class rollout_evidence;
 class rollout_table;
+class stream_baselines;
 
 /// State of the roll-outs at this node.
 struct rollout_models {
@@ -32,6 +33,7 @@
     usage_tracker& usage;
     demand_tracker& demand;
     part_quarantine& quarantine;
+    stream_baselines& baselines;
     const rollout_models* rollouts = nullptr; ///< null if the deployment has no roll-outs
 };
 
--- a/include/eelgrassbend/gateway/node_presence.h
+++ b/include/eelgrassbend/gateway/node_presence.h
@@ -64,7 +64,7 @@
     bool on_record_written(const std::string& key, const std::string& value) override;
     void on_record_removed(const std::string& key, bool after_gap) override;
 
-    void on_caught_up(monotonic_time /*as_of*/) override {}
+    void on_caught_up(monotonic_time as_of) override;
 
     [[nodiscard]] bool has_other_holder() const override;
     [[nodiscard]] std::size_t rank() const override;
--- a/include/eelgrassbend/placement/endpoint_table.h
+++ b/include/eelgrassbend/placement/endpoint_table.h
@@ -111,6 +111,9 @@
     /// Endpoints of a service that accept new requests.
     [[nodiscard]] std::vector<const known_endpoint*> usable(const service_id& service,
                                                             monotonic_time now) const;
+    /// The version of all endpoints of the service, draining ones included; nothing if there are
+    /// several.
+    [[nodiscard]] std::optional<software_version> only_version(const service_id& service) const;
     /// Whether an endpoint of the service runs this version and does not drain.
     [[nodiscard]] bool has_version(const service_id& service,
                                    const software_version& version) const;
--- a/include/eelgrassbend/serving/forward_flow.h
+++ b/include/eelgrassbend/serving/forward_flow.h
@@ -11,6 +11,7 @@
 #include "eelgrassbend/serving/exchange.h"
 #include "eelgrassbend/serving/forward_protocol.h"
 #include "eelgrassbend/serving/forward_services.h"
+#include "eelgrassbend/serving/held_exchange.h"
 #include "eelgrassbend/serving/run_history.h"
 #include "eelgrassbend/serving/run_migrator.h"
 #include "eelgrassbend/serving/sse.h"
@@ -129,6 +130,12 @@
     /// Whether the request may be sent to an endpoint as a new run.
     [[nodiscard]] bool may_start_run() const;
     void wait_for_capacity(const placement_answer& found);
+    /// Whether the caller goes on with a stream of which it has received events.
+    [[nodiscard]] bool resumes_stream() const;
+    void find_origin();
+    void handle_origin_found(const result<software_version>& found);
+    /// Records the version of a new run; its first event is held until that is done.
+    void record_origin();
     /// Whether the request must go on at a version that no endpoint offers any more.
     [[nodiscard]] bool is_version_gone() const;
     void end_for_missing_version();
@@ -213,6 +220,7 @@
     software_version endpoint_version; ///< of the run at `current_placement`
     /// Of the run whose events the caller has; only endpoints of this version may go on with it.
     std::optional<software_version> stream_version;
+    std::shared_ptr<held_exchange> held_answer;  ///< of a stream whose origin is recorded
     std::optional<forward_answer_fields> answer; ///< of the current attempt
     std::string answer_body;
     byte_reservation buffer_reservation; ///< for `answer_body`
--- a/include/eelgrassbend/serving/forward_protocol.h
+++ b/include/eelgrassbend/serving/forward_protocol.h
@@ -25,6 +25,8 @@
     std::optional<std::int64_t> expected_output; ///< tokens; often inaccurate
     std::vector<prompt_part> parts;
     std::string last_event; ///< id of the last event that the caller has received
+    /// With `last_event`: the request in whose answer the caller received the stream's first event.
+    request_id resumed_stream;
 };
 
 /// Headers that this node adds to a request it sends to an endpoint.
--- a/include/eelgrassbend/serving/forward_services.h
+++ b/include/eelgrassbend/serving/forward_services.h
@@ -22,6 +22,7 @@
 class rollout_table;
 class run_migrator;
 class scheduler;
+class stream_origins;
 class byte_budget;
 class crash_detector;
 class demand_tracker;
@@ -87,6 +88,7 @@
     crash_detector& crashes;
     engine_cost_estimator& costs;
     admission_controller& admission;
+    stream_origins& origins;
     rollout_table* rollouts = nullptr; ///< null if the deployment has no roll-outs
 };
 
--- a/include/eelgrassbend/settings/gateway_settings.h
+++ b/include/eelgrassbend/settings/gateway_settings.h
@@ -59,6 +59,7 @@
     network_address datagrams;
     network_address metrics;
     network_address store;
+    double store_writes_per_second = 400.0; ///< that the store accepts from all nodes
     /// Without it, the process does not compete for the duty lease.
     std::optional<network_address> cloud;
     std::size_t connections = 2048; ///< maximum of caller connections
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "eelgrassbend/placement/placer.h"
 #include "eelgrassbend/placement/prompt_cache.h"
 #include "eelgrassbend/quarantine/crash_detector.h"
+#include "eelgrassbend/streams/store_stream_origins.h"
 #include "eelgrassbend/support/byte_budget.h"
 #include "eelgrassbend/support/callback_scope.h"
 
@@ -124,6 +125,14 @@
     return derived;
 }
 
+static origin_writer_settings make_origin_settings(const gateway_settings& settings)
+{
+    origin_writer_settings derived;
+    derived.node = settings.node;
+    derived.store_writes_per_second = settings.store_writes_per_second;
+    return derived;
+}
+
 struct gateway::impl {
     impl(const gateway_dependencies& dependencies, const gateway_settings& node_settings);
 
@@ -154,6 +163,8 @@
     crash_detector crashes;
     fleet_capacity capacity;
     admission_controller admission;
+    stream_baselines baselines;
+    store_stream_origins origins;
     std::unique_ptr<gateway_rollouts> rollouts; ///< null if there are none
     forward_services services;
     forward_handler front;
@@ -196,6 +207,11 @@
               dependencies.counters),
       capacity(endpoints, loads, quotas),
       admission(capacity, dependencies.random),
+      baselines(dependencies.store, dependencies.time, dependencies.log, endpoints,
+                node_presence::topic()),
+      origins(
+          dependencies.store, dependencies.time, dependencies.log, dependencies.counters, baselines,
+          [this] { return this->loads.node_count(); }, make_origin_settings(node_settings)),
       rollouts(make_gateway_rollouts(dependencies, node_settings, endpoints, loads)),
       services{forward,
                dependencies.time,
@@ -218,12 +234,13 @@
                crashes,
                costs,
                admission,
+               origins,
                rollouts ? &rollouts->models().table : nullptr},
       front(services),
       presence(
           {dependencies.store, dependencies.datagrams, dependencies.time, dependencies.random,
            dependencies.log},
-          {fleet, loads, endpoints, quotas, retries, usage, demand, quarantine,
+          {fleet, loads, endpoints, quotas, retries, usage, demand, quarantine, baselines,
            rollouts ? &rollouts->models() : nullptr},
           {node_settings.node, node_settings.zone, node_settings.callers, node_settings.datagrams}),
       lease(dependencies.store, dependencies.time, dependencies.log, presence,
@@ -278,6 +295,7 @@
     this->front.set_route_table(table);
     this->checks.set_table(table);
     this->scaling.set_table(table);
+    this->baselines.set_table(table);
     this->slot_scaling.set_table(table);
     if (this->on_table_change) {
         this->on_table_change(*table);
--- a/lib/gateway/node_presence.cpp
+++ b/lib/gateway/node_presence.cpp
@@ -3,6 +3,7 @@
 #include "eelgrassbend/quarantine/part_quarantine.h"
 #include "eelgrassbend/rollout/rollout_evidence.h"
 #include "eelgrassbend/rollout/rollout_table.h"
+#include "eelgrassbend/streams/stream_baselines.h"
 
 #include <nlohmann/json.hpp>
 
@@ -137,6 +138,10 @@
         this->quarantines.on_record_written(key, value);
         return true;
     }
+    if (stream_baselines::is_own_key(key)) {
+        this->models.baselines.on_record_written(key, value);
+        return true;
+    }
     if (key == this->identity.node.value() && value != this->own_record()) {
         this->handle_own_record_lost();
         return true;
@@ -162,6 +167,10 @@
         this->quarantines.on_record_removed(key);
         return;
     }
+    if (stream_baselines::is_own_key(key)) {
+        this->models.baselines.on_record_removed(key);
+        return;
+    }
     if (key == this->identity.node.value()) {
         this->handle_own_record_lost();
         return;
@@ -169,6 +178,11 @@
     this->models.fleet.remove_record(node_id{key});
 }
 
+void node_presence::on_caught_up(monotonic_time /*as_of*/)
+{
+    this->models.baselines.on_caught_up();
+}
+
 void node_presence::announce_leaving()
 {
     this->is_leaving = true;
@@ -205,6 +219,10 @@
     }
     this->next_digest = now + interval;
     this->send_digest();
+    this->models.baselines.update();
+    if (const auto token = this->lease->token()) {
+        this->models.baselines.synchronize(*token);
+    }
     if (now >= this->next_usage) {
         this->next_usage = now + usage_interval;
         this->send_usage();
--- a/lib/placement/endpoint_table.cpp
+++ b/lib/placement/endpoint_table.cpp
@@ -245,6 +245,21 @@
     return usable;
 }
 
+std::optional<software_version> endpoint_table::only_version(const service_id& service) const
+{
+    std::optional<software_version> only;
+    for (const auto& [id, entry] : this->endpoints) {
+        if (entry.record.service != service) {
+            continue;
+        }
+        if (only && *only != entry.record.version) {
+            return std::nullopt;
+        }
+        only = entry.record.version;
+    }
+    return only;
+}
+
 bool endpoint_table::has_version(const service_id& service, const software_version& version) const
 {
     return std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const auto& each) {
--- a/lib/serving/forward_end.cpp
+++ b/lib/serving/forward_end.cpp
@@ -86,7 +86,8 @@
 
 void forward_flow::give_up(int status, const error& reason)
 {
-    if (this->is_stream_started) {
+    const bool is_held = this->held_answer && !this->held_answer->has_begun();
+    if (this->is_stream_started && !is_held) {
         this->request.answer->abort();
         this->close("broken_off");
         return;
--- a/lib/serving/forward_flow.cpp
+++ b/lib/serving/forward_flow.cpp
@@ -71,6 +71,10 @@
     this->wants_target =
         this->services.rollouts != nullptr &&
         this->services.rollouts->draw_target(this->request.target, this->services.time.now());
+    if (this->resumes_stream()) {
+        this->find_origin();
+        return;
+    }
     this->choose_endpoint();
 }
 
@@ -226,6 +230,7 @@
         this->services.client.dispatch(chosen.address, this->make_attempt_request(chosen), *this);
     this->attempted.insert(chosen.endpoint);
     this->arm_first_byte_timer(chosen);
+    this->record_origin();
 }
 
 endpoint_request forward_flow::make_attempt_request(const placement& chosen) const
--- a/lib/settings/gateway_settings.cpp
+++ b/lib/settings/gateway_settings.cpp
@@ -27,6 +27,9 @@
     listen.reject_unknown_keys();
     auto store = root.table("store");
     settings.store = read_address(store, "address");
+    constexpr double max_writes = 1'000'000.0;
+    settings.store_writes_per_second =
+        store.number("writes_per_second", 1.0, max_writes, settings.store_writes_per_second);
     store.reject_unknown_keys();
     auto cloud = root.table("cloud", false);
     if (!cloud.string("address", "").empty()) {
--- a/unittests/serving/forward_fixture.h
+++ b/unittests/serving/forward_fixture.h
@@ -11,6 +11,7 @@
 #include "eelgrassbend/support/byte_budget.h"
 
 #include "fakes/fake_reachability_probe.h"
+#include "fakes/fake_stream_origins.h"
 #include "serving_fakes.h"
 
 #include <optional>
@@ -27,6 +28,7 @@
         fields.host = request.header("Host");
         fields.key = request.header("Key");
         fields.last_event = request.header("Last-Event");
+        fields.resumed_stream = request_id{request.header("Resumes")};
         if (const auto left = request.header("Time-Left-Ms"); !left.empty()) {
             fields.time_left = std::chrono::milliseconds{std::stol(left)};
         }
@@ -255,11 +257,12 @@
     crash_detector crashes{this->probes, this->quarantine, this->time, this->log, this->counters};
     fleet_capacity capacity{this->endpoints, this->loads, this->quotas};
     admission_controller admission{this->capacity, this->random};
+    fakes::fake_stream_origins origins;
     forward_settings settings;
-    forward_services services{settings, time,      random,   log,           counters, protocol,
-                              client,   endpoints, loads,    cache,         places,   quotas,
-                              retries,  usage,     migrator, answer_memory, demand,   quarantine,
-                              crashes,  costs,     admission};
+    forward_services services{settings, time,      random,    log,           counters, protocol,
+                              client,   endpoints, loads,     cache,         places,   quotas,
+                              retries,  usage,     migrator,  answer_memory, demand,   quarantine,
+                              crashes,  costs,     admission, origins};
     forward_handler handler{services};
     routing_configuration configuration;
     int sent = 0;
--- a/unittests/serving/stream_version_test.cpp
+++ b/unittests/serving/stream_version_test.cpp
@@ -147,4 +147,154 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_goes_on_at_the_version_that_began_it, two_versions_fixture)
+{
+    for (const char* began : {"v1", "v2", "v1", "v2"}) {
+        this->origins.origins[request_id{"s"}] = software_version{began};
+        const auto answer = this->send("/short/1", {{"Last-Event", "3"}, {"Resumes", "s"}});
+        BOOST_TEST(this->version() == began);
+        this->head();
+        this->body(event(4));
+        const auto first = this->endpoint();
+        this->fail(dispatch_state::maybe_sent);
+        BOOST_TEST(this->version() == began);
+        BOOST_TEST(this->endpoint() != first);
+        this->head();
+        this->body(event(5));
+        this->complete();
+        BOOST_TEST(answer->body == event(4) + event(5));
+    }
+    BOOST_TEST(this->origins.recorded.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_of_unknown_origin_is_refused_as_not_run,
+                        two_versions_fixture)
+{
+    for (const header_list& headers : {header_list{{"Last-Event", "3"}, {"Resumes", "unknown"}},
+                                       header_list{{"Last-Event", "3"}}}) {
+        const auto answer = this->send("/short/1", headers);
+        BOOST_TEST(answer->status == 503);
+        BOOST_TEST(answer->ended);
+        BOOST_TEST(!answer->header("Retry-After").empty());
+    }
+    BOOST_TEST(this->client.attempts.empty());
+    this->write("draft-2", "v1");
+    this->write("draft-4", "v1");
+    this->send("/short/1", {{"Last-Event", "3"}});
+    BOOST_TEST(this->client.attempts.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_stream_whose_version_has_left_is_refused_at_once,
+                        two_versions_fixture)
+{
+    this->origins.origins[request_id{"s"}] = software_version{"v1"};
+    this->drain("v1");
+    const auto answer = this->send("/short/1", {{"Last-Event", "3"}, {"Resumes", "s"}});
+    BOOST_TEST(answer->status == 503);
+    BOOST_TEST(this->client.attempts.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_may_leave_while_the_origin_is_searched, two_versions_fixture)
+{
+    this->origins.is_held = true;
+    const auto left = this->send("/short/1", {{"Last-Event", "3"}, {"Resumes", "s"}});
+    left->disconnect_handler();
+    this->origins.origins[request_id{"s"}] = software_version{"v1"};
+    const auto late = this->send("/short/1", {{"Last-Event", "3"}, {"Resumes", "s"}});
+    this->time.run_for(seconds{6});
+    BOOST_TEST(late->status == 503);
+    this->origins.release();
+    BOOST_TEST(this->client.attempts.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(the_first_event_waits_until_the_origin_is_recorded, two_versions_fixture)
+{
+    this->origins.is_held = true;
+    const auto answer = this->send("/short/1");
+    BOOST_REQUIRE(this->origins.recorded.size() == 1U);
+    BOOST_TEST(this->origins.recorded[0].second.value() == this->version());
+    this->head();
+    this->body(event(1) + event(2));
+    BOOST_TEST(answer->status == 0);
+    this->origins.release();
+    BOOST_TEST(answer->body == event(1) + event(2));
+    this->body(event(3));
+    BOOST_TEST(answer->body == event(1) + event(2) + event(3));
+    this->complete();
+    BOOST_TEST(answer->ended);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_ends_before_its_origin_is_recorded_is_delivered_whole,
+                        two_versions_fixture)
+{
+    this->origins.is_held = true;
+    const auto answer = this->send("/short/1");
+    this->head();
+    this->body(event(1));
+    this->complete();
+    BOOST_TEST(!answer->ended);
+    this->origins.release();
+    BOOST_TEST(answer->body == event(1));
+    BOOST_TEST(answer->ended);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_with_held_events_is_resumed_after_them, two_versions_fixture)
+{
+    this->origins.is_held = true;
+    const auto answer = this->send("/short/1");
+    const auto began = this->version();
+    this->head();
+    this->body(event(1) + event(2));
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_REQUIRE(this->client.attempts.size() == 2U);
+    BOOST_TEST(this->version() == began);
+    BOOST_TEST(this->sent_header("Last-Event") == "2");
+    BOOST_TEST(this->origins.recorded.size() == 1U);
+    this->head();
+    this->body(event(3));
+    this->origins.release();
+    this->complete();
+    BOOST_TEST(answer->body == event(1) + event(2) + event(3));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_fails_with_held_events_is_not_reported_as_not_run,
+                        two_versions_fixture)
+{
+    this->origins.is_held = true;
+    const auto answer = this->send("/short/1");
+    this->head();
+    this->body(event(1));
+    this->drain(this->version());
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_TEST(answer->status == 502);
+    BOOST_TEST(answer->ended);
+    this->origins.release();
+    BOOST_TEST(answer->status == 502);
+    BOOST_TEST(answer->body.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_run_that_starts_again_waits_for_its_own_record, two_versions_fixture)
+{
+    this->origins.is_held = true;
+    const auto answer = this->send("/short/1");
+    const auto began = this->version();
+    this->drain(began);
+    this->fail(dispatch_state::maybe_sent);
+    BOOST_REQUIRE(this->origins.recorded.size() == 2U);
+    BOOST_TEST(this->origins.recorded[1].second.value() != began);
+    this->head();
+    this->body(event(1));
+    this->origins.release();
+    BOOST_TEST(answer->body == event(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_that_cannot_be_resumed_are_not_recorded, two_versions_fixture)
+{
+    this->send("/long/1");
+    this->send("/look/1");
+    this->send("/order/1");
+    BOOST_TEST(this->client.attempts.size() == 3U);
+    BOOST_TEST(this->origins.recorded.empty());
+}
+
 } // namespace eelgrassbend
--- a/unittests/settings/gateway_settings_test.cpp
+++ b/unittests/settings/gateway_settings_test.cpp
@@ -16,6 +16,7 @@
 metrics = "10.0.0.1:5"
 [store]
 address = "10.0.0.9:6"
+writes_per_second = 1200
 [cloud]
 address = "10.0.0.8:7"
 [bounds]
@@ -30,6 +31,7 @@
     BOOST_REQUIRE(parsed.has_value());
     BOOST_TEST(parsed.value().node.value() == "front-a-1");
     BOOST_TEST((parsed.value().store == network_address{"10.0.0.9", 6}));
+    BOOST_TEST(parsed.value().store_writes_per_second == 1200.0);
     BOOST_TEST((parsed.value().cloud == network_address{"10.0.0.8", 7}));
     BOOST_TEST((parsed.value().bounds.removed_key == std::chrono::seconds{4}));
     BOOST_TEST((parsed.value().bounds.stop == std::chrono::milliseconds{7500}));
