serving: log the version and the resumption of each attempt

The logs of the incident could not tell streams that a caller took up from streams that a node resumed within its answer, nor at which versions. The line route names the version, and for a stream that goes on the last event and the stream that the caller resumes.

--- a/lib/serving/forward_progress.cpp
+++ b/lib/serving/forward_progress.cpp
@@ -66,19 +66,24 @@
 
 void forward_flow::log_placement(const placement& chosen) const
 {
-    this->services.log.write(log_level::info, "route",
-                             {{"request", this->request.fields.id.value()},
-                              {"route", this->request.matched_route->name},
-                              {"service", this->request.target.value()},
-                              {"endpoint", chosen.endpoint.value()},
-                              {"attempt", this->endpoints_tried},
-                              {"configuration", this->request.table->version().value()},
-                              {"predicted_ms", whole_milliseconds(chosen.predicted)},
-                              {"pace", chosen.slowdown},
-                              {"kept_tokens", chosen.cached_tokens},
-                              {"running", chosen.load.requests},
-                              {"waiting_prompt", chosen.load.waiting_prompt},
-                              {"considered", chosen.candidate_count}});
+    nlohmann::json line{{"request", this->request.fields.id.value()},
+                        {"route", this->request.matched_route->name},
+                        {"service", this->request.target.value()},
+                        {"endpoint", chosen.endpoint.value()},
+                        {"version", this->endpoint_version.value()},
+                        {"attempt", this->endpoints_tried},
+                        {"configuration", this->request.table->version().value()},
+                        {"predicted_ms", whole_milliseconds(chosen.predicted)},
+                        {"pace", chosen.slowdown},
+                        {"kept_tokens", chosen.cached_tokens},
+                        {"running", chosen.load.requests},
+                        {"waiting_prompt", chosen.load.waiting_prompt},
+                        {"considered", chosen.candidate_count}};
+    if (!this->last_event.empty()) {
+        line["last_event"] = this->last_event;
+        line["resumes"] = this->request.fields.resumed_stream.value();
+    }
+    this->services.log.write(log_level::info, "route", line);
 }
 
 // Reports of the endpoint about itself are valid whatever the outcome of the request.
