--- a/unittests/streams/stream_origins_test.cpp
+++ b/unittests/streams/stream_origins_test.cpp
@@ -466,4 +466,41 @@
     BOOST_TEST(!node->origins.preferred_version(draft).has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_node_without_a_former_era_does_not_miss_a_lost_origin, origins_fixture)
+{
+    this->set_baseline("v1");
+    const auto node = this->start("a");
+    const auto other = this->start("b");
+    node->record("s-1", v2);
+    this->logs.restore("stream-origins", 1);
+    const auto found = other->find("s-1");
+    BOOST_TEST((!found || found.value() == v2));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_origin_that_waits_for_the_store_is_not_taken_for_the_baseline,
+                        origins_fixture)
+{
+    this->set_baseline("v1");
+    const auto node = this->start("a");
+    const auto other = this->start("b");
+    node->store.is_down = true;
+    node->record("s-1", v2);
+    const auto found = other->find("s-1");
+    BOOST_TEST((!found || found.value() == v2));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_shorter_timeout_ends_no_origin_of_a_running_stream, origins_fixture)
+{
+    this->set_baseline("v1");
+    const auto node = this->start("a");
+    const auto other = this->start("b");
+    node->record("s-1", v2);
+    auto shorter = make_configuration();
+    shorter.routes[0].timeout = seconds{5};
+    other->baselines.set_table(std::make_shared<const route_table>(shorter));
+    this->time.run_for(seconds{21});
+    const auto found = other->find("s-1");
+    BOOST_TEST((!found || found.value() == v2));
+}
+
 } // namespace eelgrassbend
